--- /dev/null
+++ b/tarragonhaven/configuration_holder.cc
@@ -0,0 +1,34 @@
+// The newest accepted revision wins. A refused revision is remembered by number only: a later one may be
+// sound.
+
+#include "tarragonhaven/configuration_holder.h"
+
+#include "util/check.h"
+
+#include <algorithm>
+
+namespace tarragonhaven {
+
+Acceptance ConfigurationHolder::offer(ConfigurationPointer configuration)
+{
+    const auto before = revision();
+    if (configuration->revision() <= before)
+        return Acceptance::NotNewer;
+    m_current = std::move(configuration);
+    TARRAGONHAVEN_CHECK(revision() > before, "the revision in force never falls");
+    return Acceptance::Accepted;
+}
+
+void ConfigurationHolder::noteRefused(Revision revision)
+{
+    m_newestRefused = std::max(m_newestRefused, revision);
+}
+
+bool ConfigurationHolder::wants(Revision revision) const
+{
+    return revision > this->revision() && revision > m_newestRefused;
+}
+
+Revision ConfigurationHolder::revision() const { return m_current ? m_current->revision() : 0; }
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/declaration_parse.cc
@@ -0,0 +1,232 @@
+// A document is read field by field with JsonReader, which collects faults and goes on. The result is then
+// checked across its parts (declaration_check.h), so that one run reports faults of both kinds.
+
+#include "tarragonhaven/declaration_parse.h"
+
+#include "tarragonhaven/declaration_check.h"
+#include "util/json_reader.h"
+
+#include <cstdint>
+
+namespace tarragonhaven {
+
+namespace {
+
+    using util::Faults;
+    using util::JsonReader;
+
+    constexpr std::int64_t maximumSlots = 10'000;
+    constexpr std::int64_t maximumDeadlineMs = 3'600'000;
+    constexpr std::int64_t defaultDeadlineMs = 10'000;
+    constexpr std::int64_t maximumBurst = 10'000'000;
+    constexpr double maximumRatePerSecond = 10'000'000;
+    constexpr double minimumRatePerSecond = 0.001;
+    constexpr std::int64_t latestNotAfter = 32'503'680'000;
+    constexpr std::int64_t defaultFloorPercent = 50;
+    constexpr std::size_t sha256Digits = 64;
+
+    Endpoint readEndpoint(JsonReader& reader, const std::string& name)
+    {
+        const auto text = reader.text(name);
+        const auto endpoint = parseEndpoint(text);
+        if (!endpoint && !text.empty())
+            reader.fault(name, "is not an IP number and a port");
+        return endpoint.value_or(Endpoint {});
+    }
+
+    std::vector<InstanceName> toInstanceNames(const std::vector<std::string>& texts)
+    {
+        std::vector<InstanceName> names;
+        for (const auto& text : texts)
+            names.push_back({ text });
+        return names;
+    }
+
+    Instance readInstance(JsonReader& reader)
+    {
+        Instance instance;
+        instance.name = { reader.text("name") };
+        instance.dataCentre = { reader.text("dataCentre") };
+        instance.callerAddress = readEndpoint(reader, "callerAddress");
+        instance.peerAddress = readEndpoint(reader, "peerAddress");
+        return instance;
+    }
+
+    OwnershipGroup readGroup(JsonReader& reader)
+    {
+        OwnershipGroup group;
+        group.name = reader.text("name");
+        group.dataCentre = { reader.text("dataCentre") };
+        group.members = toInstanceNames(reader.textsOr("members"));
+        for (const auto& former : reader.textListsOr("formerMembers"))
+            group.formerMembers.push_back(toInstanceNames(former));
+        return group;
+    }
+
+    Target readTarget(JsonReader& reader)
+    {
+        Target target;
+        target.name = { reader.text("name") };
+        target.instance = { reader.text("instance") };
+        target.address = readEndpoint(reader, "address");
+        target.slots = static_cast<int>(reader.number("slots", 1, maximumSlots));
+        return target;
+    }
+
+    EjectionStance readStance(JsonReader& reader)
+    {
+        const auto text = reader.textOr("stance", "balanced");
+        if (text == "fast")
+            return EjectionStance::Fast;
+        if (text == "careful")
+            return EjectionStance::Careful;
+        if (text != "balanced")
+            reader.fault("stance", "is none of fast, balanced, careful");
+        return EjectionStance::Balanced;
+    }
+
+    Service readService(JsonReader& reader)
+    {
+        Service service;
+        service.name = { reader.text("name") };
+        service.floorPercent = static_cast<int>(reader.numberOr("floorPercent", 0, 100, defaultFloorPercent));
+        service.stance = readStance(reader);
+        reader.objects("targets", [&](JsonReader& item) { service.targets.push_back(readTarget(item)); });
+        return service;
+    }
+
+    IdentityRule readIdentityRule(JsonReader& reader)
+    {
+        const auto text = reader.textOr("identity", "none");
+        if (text == "required")
+            return IdentityRule::Required;
+        if (text != "none")
+            reader.fault("identity", "is neither none nor required");
+        return IdentityRule::None;
+    }
+
+    Route readRoute(JsonReader& reader)
+    {
+        Route route;
+        route.name = { reader.text("name") };
+        route.method = reader.text("method");
+        route.pattern = reader.text("pattern");
+        route.service = { reader.text("service") };
+        route.openToAll = reader.flagOr("openToAll", false);
+        route.idempotent = reader.flagOr("idempotent", false);
+        route.identity = readIdentityRule(reader);
+        route.deadline = std::chrono::milliseconds(
+            reader.numberOr("deadlineMs", 1, maximumDeadlineMs, defaultDeadlineMs));
+        return route;
+    }
+
+    ApiKey readKey(JsonReader& reader)
+    {
+        ApiKey key;
+        key.sha256 = reader.text("sha256");
+        const bool hex = key.sha256.find_first_not_of("0123456789abcdef") == std::string::npos;
+        if (!key.sha256.empty() && (key.sha256.size() != sha256Digits || !hex))
+            reader.fault("sha256", "is not 64 lower-case hexadecimal digits");
+        key.notAfter = reader.numberOr("notAfter", 0, latestNotAfter, 0);
+        return key;
+    }
+
+    Organisation readOrganisation(JsonReader& reader)
+    {
+        Organisation organisation;
+        organisation.name = { reader.text("name") };
+        organisation.ratePerSecond
+            = reader.decimal("ratePerSecond", minimumRatePerSecond, maximumRatePerSecond);
+        organisation.burst = static_cast<int>(reader.number("burst", 1, maximumBurst));
+        reader.objectsIfAny("keys", [&](JsonReader& item) { organisation.keys.push_back(readKey(item)); });
+        return organisation;
+    }
+
+    std::vector<Organisation> readOrganisations(JsonReader& reader)
+    {
+        std::vector<Organisation> organisations;
+        reader.objects(
+            "organisations", [&](JsonReader& item) { organisations.push_back(readOrganisation(item)); });
+        return organisations;
+    }
+
+    void readSchema(JsonReader& reader)
+    {
+        const auto schema = reader.number("schema", 0, 1'000'000);
+        if (schema != schemaVersion)
+            reader.fault(
+                "schema", "is not " + std::to_string(schemaVersion) + ", the version this build reads");
+    }
+
+    FleetIndex readIndex(JsonReader& reader)
+    {
+        FleetIndex index;
+        index.fleet = reader.text("fleet");
+        for (const auto& name : reader.textsOr("dataCentres"))
+            index.dataCentres.push_back({ name });
+        reader.objects("instances", [&](JsonReader& item) { index.instances.push_back(readInstance(item)); });
+        reader.objects("ownershipGroups", [&](JsonReader& item) { index.groups.push_back(readGroup(item)); });
+        reader.objects("services", [&](JsonReader& item) { index.services.push_back(readService(item)); });
+        reader.objects("routes", [&](JsonReader& item) { index.routes.push_back(readRoute(item)); });
+        index.organisationShards = reader.textsOr("organisationShards");
+        return index;
+    }
+
+    void append(Faults& faults, const Faults& more) { faults.insert(faults.end(), more.begin(), more.end()); }
+
+} // namespace
+
+util::Checked<Declaration> parseDeclaration(const std::string& text)
+{
+    const auto document = util::parseJsonObject(text);
+    if (!document)
+        return tl::unexpected(document.error());
+    Faults faults;
+    JsonReader reader(*document, "", faults);
+    readSchema(reader);
+    Declaration declaration;
+    declaration.index = readIndex(reader);
+    declaration.organisations = readOrganisations(reader);
+    reader.refuseUnknown();
+    append(faults, checkIndex(declaration.index));
+    append(faults, checkOrganisations(declaration.organisations));
+    if (!declaration.index.organisationShards.empty())
+        faults.push_back({ "organisationShards", "is written by the values command, not by hand" });
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return declaration;
+}
+
+util::Checked<FleetIndex> parseFleetIndex(const std::string& text)
+{
+    const auto document = util::parseJsonObject(text);
+    if (!document)
+        return tl::unexpected(document.error());
+    Faults faults;
+    JsonReader reader(*document, "", faults);
+    readSchema(reader);
+    auto index = readIndex(reader);
+    reader.refuseUnknown();
+    append(faults, checkIndex(index));
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return index;
+}
+
+util::Checked<std::vector<Organisation>> parseOrganisationShard(const std::string& text)
+{
+    const auto document = util::parseJsonObject(text);
+    if (!document)
+        return tl::unexpected(document.error());
+    Faults faults;
+    JsonReader reader(*document, "", faults);
+    readSchema(reader);
+    auto organisations = readOrganisations(reader);
+    reader.refuseUnknown();
+    append(faults, checkOrganisations(organisations));
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return organisations;
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/entry.cc
@@ -0,0 +1,203 @@
+#include "tarragonhaven/entry.h"
+
+#include "tarragonhaven/http_fields.h"
+#include "util/sha256.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr const char* identityField = "Idempotency-Key";
+    // Fields that the system itself writes are not taken from callers.
+    constexpr std::string_view ownFieldPrefix = "Tarragonhaven-";
+    constexpr util::Duration notReadyRetryAfter = std::chrono::seconds(2);
+    constexpr std::size_t maximumIdentityLength = 200;
+
+    Refusal refusal(RefusalReason reason, util::Duration retryAfter = {})
+    {
+        return { reason, RunState::NotRun, retryAfter, "" };
+    }
+
+    std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+    void dropOwnFields(RequestHead& head)
+    {
+        std::erase_if(head.fields, [](const HeaderField& field) {
+            return sameFieldName(
+                std::string_view(field.name).substr(0, ownFieldPrefix.size()), ownFieldPrefix);
+        });
+    }
+
+} // namespace
+
+Entry::Entry(Parts parts)
+    : m_parts(std::move(parts))
+    , m_ids(m_parts.self.text, m_parts.incarnation)
+    , m_random(m_parts.incarnation)
+{
+}
+
+void Entry::apply(ConfigurationPointer configuration)
+{
+    m_configuration = std::move(configuration);
+    std::set<ServiceName> declared;
+    for (const auto& service : m_configuration->index().services) {
+        declared.insert(service.name);
+        const auto found = m_services.find(service.name);
+        if (found != m_services.end())
+            found->second.update(service);
+        else
+            m_services.emplace(service.name, ServiceHealth(service));
+    }
+    std::erase_if(m_services, [&declared](const auto& item) { return !declared.contains(item.first); });
+    markLeaving(m_leaving);
+}
+
+void Entry::markLeaving(const std::set<InstanceName>& instances)
+{
+    m_leaving = instances;
+    for (auto& [name, service] : m_services)
+        service.markLeaving(instances);
+    for (const auto& instance : instances)
+        m_parts.peers.forget(instance);
+}
+
+void Entry::tick()
+{
+    const auto now = util::BootClock::now();
+    noteWaitingAges(now);
+    for (auto& [name, service] : m_services) {
+        for (const auto& decision : service.evaluate(now))
+            logEjection(name, decision);
+    }
+}
+
+void Entry::logEjection(const ServiceName& service, const EjectionDecision& decision)
+{
+    m_parts.log.write(LogLevel::Warning, "ejection",
+        { { "service", service.text }, { "target", decision.target.text }, { "event", name(decision.event) },
+            { "score", decision.score }, { "slotsInUse", decision.slotsInUse },
+            { "floorSlots", decision.floorSlots } });
+}
+
+void Entry::logRefusal(
+    const std::string& requestId, const OrganisationName& organisation, const Refusal& refusal)
+{
+    m_parts.metrics.noteRefusal(organisation, refusal);
+    m_parts.log.write(LogLevel::Info, "refusal",
+        { { "request", requestId }, { "organisation", organisation.text }, { "reason", name(refusal.reason) },
+            { "run", name(refusal.run) }, { "detail", refusal.detail } });
+}
+
+tl::expected<const Route*, Refusal> Entry::findRoute(const RequestHead& head) const
+{
+    const auto path = pathOf(head.target);
+    if (const auto* route = m_configuration->routes().find(head.method, path))
+        return route;
+    const bool known = m_configuration->routes().knowsPath(path);
+    return tl::unexpected(refusal(known ? RefusalReason::MethodNotRouted : RefusalReason::RouteUnknown));
+}
+
+tl::expected<const Organisation*, Refusal> Entry::findOrganisation(
+    const Route& route, const std::optional<PresentedKey>& key, std::string& digest) const
+{
+    if (!key)
+        return route.openToAll ? tl::expected<const Organisation*, Refusal>(nullptr)
+                               : tl::unexpected(refusal(RefusalReason::KeyMissing));
+    if (!m_keysFresh)
+        return tl::unexpected(refusal(RefusalReason::KeysMayBeStale, notReadyRetryAfter));
+    digest = digestOf(*key);
+    const auto* organisation = m_configuration->organisationOfKey(digest, util::wallSeconds());
+    if (!organisation)
+        return tl::unexpected(refusal(RefusalReason::KeyNotAccepted));
+    return organisation;
+}
+
+tl::expected<AcceptedRequest, Refusal> Entry::accept(RequestHead head)
+{
+    if (m_stopping)
+        return tl::unexpected(refusal(RefusalReason::Stopping, notReadyRetryAfter));
+    if (!m_ready || !m_configuration)
+        return tl::unexpected(refusal(RefusalReason::NotReady, notReadyRetryAfter));
+    if (holdsKey(head.target))
+        return tl::unexpected(refusal(RefusalReason::KeyInQuery));
+    AcceptedRequest accepted;
+    const auto key = takeKey(head);
+    dropOwnFields(head);
+    const auto route = findRoute(head);
+    if (!route)
+        return tl::unexpected(route.error());
+    const auto organisation = findOrganisation(**route, key, accepted.keyDigest);
+    if (!organisation)
+        return tl::unexpected(organisation.error());
+    accepted.route = **route;
+    accepted.identity = std::string(fieldValue(head.fields, identityField));
+    accepted.context.organisation = *organisation ? (*organisation)->name : OrganisationName {};
+    accepted.context.service = accepted.route.service;
+    accepted.context.idempotent = accepted.route.idempotent;
+    accepted.context.deadline = util::BootClock::now() + accepted.route.deadline;
+    accepted.head = std::move(head);
+    if (accepted.identity.size() > maximumIdentityLength)
+        return tl::unexpected(refusal(RefusalReason::IdentityMalformed));
+    if (accepted.route.identity == IdentityRule::Required && accepted.identity.empty())
+        return tl::unexpected(refusal(RefusalReason::IdentityMissing));
+    return accepted;
+}
+
+std::string Entry::digestOf(const PresentedKey& key) { return util::sha256Hex(key.text); }
+
+bool Entry::stillAccepted(const std::string& keyDigest) const
+{
+    if (keyDigest.empty())
+        return true;
+    return m_keysFresh && m_configuration->organisationOfKey(keyDigest, util::wallSeconds()) != nullptr;
+}
+
+ServiceHealth* Entry::health(const ServiceName& service)
+{
+    const auto found = m_services.find(service);
+    return found == m_services.end() ? nullptr : &found->second;
+}
+
+TargetChoice Entry::choose(const ServiceName& service, const ChoiceRequest& request)
+{
+    const auto* health = this->health(service);
+    if (!health)
+        return { nullptr, {}, "service not declared" };
+    const auto isLocal = [this](const Target& target) {
+        const auto* instance = m_configuration->instance(target.instance);
+        return instance && instance->dataCentre == m_parts.dataCentre;
+    };
+    return chooseTarget(health->views(util::BootClock::now()), request, isLocal, m_random);
+}
+
+std::uint64_t Entry::beginWaiting(const ServiceName& service, const TargetName& target)
+{
+    if (auto* health = this->health(service))
+        health->noteSent(target);
+    m_waiting.emplace(++m_lastWaiting, WaitingRequest { service, target, util::BootClock::now(), {} });
+    return m_lastWaiting;
+}
+
+void Entry::endWaiting(std::uint64_t number)
+{
+    const auto waiting = m_waiting.extract(number);
+    if (waiting.empty())
+        return;
+    if (auto* health = this->health(waiting.mapped().service))
+        health->noteReturned(waiting.mapped().target);
+}
+
+void Entry::noteWaitingAges(util::Time now)
+{
+    for (auto& [number, waiting] : m_waiting) {
+        const auto age = now - waiting.since;
+        if (auto* health = this->health(waiting.service))
+            health->noteWaiting(waiting.target, age, waiting.notedAge);
+        waiting.notedAge = age;
+    }
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/entry.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "tarragonhaven/admission.h"
+#include "tarragonhaven/configuration.h"
+#include "tarragonhaven/guard.h"
+#include "tarragonhaven/key_filter.h"
+#include "tarragonhaven/log_channel.h"
+#include "tarragonhaven/peer_pool.h"
+#include "tarragonhaven/request_context.h"
+#include "tarragonhaven/request_id.h"
+#include "tarragonhaven/retry_budget.h"
+#include "tarragonhaven/service_health.h"
+#include "tarragonhaven/target_chooser.h"
+#include "tarragonhaven/traffic_metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace tarragonhaven {
+
+// A caller's request that may go on: who calls, where it leads and what it needs.
+struct AcceptedRequest {
+    RequestContext context;
+    RequestHead head;
+    // Copied, so that a change of configuration does not pull it away.
+    Route route;
+    // The digest of the caller's key, empty on open routes.
+    std::string keyDigest;
+    std::string identity;
+};
+
+// What this node knows and decides as the entry of callers' requests. All of it belongs to the traffic
+// thread.
+class Entry {
+public:
+    struct Parts {
+        boost::asio::io_context& io;
+        Guard& guard;
+        PeerPool& peers;
+        Admission& admission;
+        LogChannel& log;
+        TrafficMetrics& metrics;
+        InstanceName self;
+        DataCentreName dataCentre;
+        std::uint64_t incarnation = 0;
+    };
+
+    explicit Entry(Parts parts);
+
+    void apply(ConfigurationPointer configuration);
+    // Marks instances that leave, as the platform's list or they themselves tell.
+    void markLeaving(const std::set<InstanceName>& instances);
+    // Whether keys may be accepted: false while a withdrawal may have been missed.
+    void setKeysFresh(bool fresh) { m_keysFresh = fresh; }
+    void setReady(bool ready) { m_ready = ready; }
+    void stop() { m_stopping = true; }
+    // Moves health on and decides on ejections. Call it ten times a second.
+    void tick();
+
+    // Checks route, key and organisation of a head as the caller sent it. The key is gone from the result.
+    tl::expected<AcceptedRequest, Refusal> accept(RequestHead head);
+    // Whether a key that was accepted before still is.
+    [[nodiscard]] bool stillAccepted(const std::string& keyDigest) const;
+    [[nodiscard]] static std::string digestOf(const PresentedKey& key);
+    [[nodiscard]] std::string nextRequestId() { return m_ids.next(); }
+
+    ServiceHealth* health(const ServiceName& service);
+    TargetChoice choose(const ServiceName& service, const ChoiceRequest& request);
+    // Tells the service's health that a request waits for a target's answer, until endWaiting() with the
+    // number that is returned.
+    std::uint64_t beginWaiting(const ServiceName& service, const TargetName& target);
+    void endWaiting(std::uint64_t number);
+    [[nodiscard]] const Parts& parts() const { return m_parts; }
+    [[nodiscard]] const ConfigurationPointer& configuration() const { return m_configuration; }
+    [[nodiscard]] const std::map<ServiceName, ServiceHealth>& services() const { return m_services; }
+    [[nodiscard]] bool stopping() const { return m_stopping; }
+    [[nodiscard]] RetryBudget& retryBudget(const ServiceName& service) { return m_retryBudgets[service]; }
+
+    void logRefusal(
+        const std::string& requestId, const OrganisationName& organisation, const Refusal& refusal);
+
+private:
+    struct WaitingRequest {
+        ServiceName service;
+        TargetName target;
+        util::Time since {};
+        util::Duration notedAge {};
+    };
+
+    void noteWaitingAges(util::Time now);
+    tl::expected<const Route*, Refusal> findRoute(const RequestHead& head) const;
+    tl::expected<const Organisation*, Refusal> findOrganisation(
+        const Route& route, const std::optional<PresentedKey>& key, std::string& digest) const;
+    void logEjection(const ServiceName& service, const EjectionDecision& decision);
+
+    Parts m_parts;
+    ConfigurationPointer m_configuration;
+    std::map<ServiceName, ServiceHealth> m_services;
+    std::map<ServiceName, RetryBudget> m_retryBudgets;
+    std::map<std::uint64_t, WaitingRequest> m_waiting;
+    std::uint64_t m_lastWaiting = 0;
+    std::set<InstanceName> m_leaving;
+    RequestIds m_ids;
+    std::mt19937_64 m_random;
+    bool m_keysFresh = true;
+    bool m_ready = false;
+    bool m_stopping = false;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/fleet_index.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "tarragonhaven/instance.h"
+#include "tarragonhaven/names.h"
+#include "tarragonhaven/ownership_group.h"
+#include "tarragonhaven/route.h"
+#include "tarragonhaven/service.h"
+
+#include <compare>
+#include <string>
+#include <vector>
+
+namespace tarragonhaven {
+
+// The declarations of a fleet without its organisations, which are published in shards of their own. A
+// shard's name ends in the SHA-256 of its content, so that index and shards cannot be mixed up.
+struct FleetIndex {
+    std::string fleet;
+    std::vector<DataCentreName> dataCentres;
+    std::vector<Instance> instances;
+    std::vector<OwnershipGroup> groups;
+    std::vector<Service> services;
+    std::vector<Route> routes;
+    std::vector<std::string> organisationShards;
+
+    friend bool operator==(const FleetIndex&, const FleetIndex&) = default;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/guard.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "tarragonhaven/configuration.h"
+#include "tarragonhaven/guarded_target.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace tarragonhaven {
+
+// The targets that this node guards.
+class Guard {
+public:
+    Guard(boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation);
+
+    // Takes over the targets of a new configuration. A target that is no longer declared finishes what it
+    // has.
+    void apply(const Configuration& configuration);
+    // The target, or null when this node does not guard it.
+    [[nodiscard]] std::shared_ptr<GuardedTarget> find(const TargetName& name) const;
+    // Refuses requests whose time in a queue has passed. Call it every few milliseconds.
+    void tick();
+    // Refuses new requests, since the instance stops.
+    void drain();
+
+    [[nodiscard]] const std::map<TargetName, std::shared_ptr<GuardedTarget>>& targets() const
+    {
+        return m_targets;
+    }
+
+private:
+    boost::asio::io_context& m_io;
+    InstanceName m_self;
+    std::uint64_t m_incarnation;
+    bool m_draining = false;
+    std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/guard_exchange.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "tarragonhaven/exchange.h"
+#include "tarragonhaven/guarded_target.h"
+#include "tarragonhaven/request_context.h"
+
+#include <memory>
+
+namespace tarragonhaven {
+
+// An exchange with a target that this node guards. It waits for a slot, takes or makes a connection, and only
+// then is open: nothing has been sent to the target before the first writeBody(). The slot is given back when
+// the answer has ended, failed or been cancelled.
+class GuardExchange : public std::enable_shared_from_this<GuardExchange> {
+public:
+    GuardExchange(std::shared_ptr<GuardedTarget> target, RequestContext context, RequestHead head);
+    ~GuardExchange();
+    GuardExchange(const GuardExchange&) = delete;
+    GuardExchange& operator=(const GuardExchange&) = delete;
+
+    void open(OutcomeHandler<void> handler);
+    void writeBody(BodyChunk chunk, OutcomeHandler<void> handler);
+    void readHead(OutcomeHandler<ResponseHead> handler);
+    void readBody(OutcomeHandler<BodyChunk> handler);
+    void cancel();
+
+    // The target's state, for the node that asked.
+    [[nodiscard]] TargetReport report() { return m_target->report(); }
+
+private:
+    void connect(OutcomeHandler<void> handler);
+    void release(bool keepConnection);
+    void noteHead(const Outcome<ResponseHead>& head);
+
+    std::shared_ptr<GuardedTarget> m_target;
+    RequestContext m_context;
+    RequestHead m_head;
+    std::unique_ptr<TargetConnection> m_connection;
+    std::uint64_t m_ticket = 0;
+    bool m_begun = false;
+    bool m_cancelled = false;
+    util::Time m_started {};
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/http_get.cc
@@ -0,0 +1,88 @@
+#include "tarragonhaven/http_get.h"
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+
+namespace tarragonhaven {
+
+namespace {
+
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    using boost::system::error_code;
+    using tcp = boost::asio::ip::tcp;
+
+    constexpr std::uint64_t bodyLimitBytes = 2'000'000;
+    constexpr unsigned httpVersion11 = 11;
+
+    class Get : public std::enable_shared_from_this<Get> {
+    public:
+        Get(boost::asio::io_context& io, PlatformHandler handler)
+            : m_stream(io)
+            , m_handler(std::move(handler))
+        {
+        }
+
+        void start(const Endpoint& server, const std::string& target, util::Duration timeout)
+        {
+            m_request.version(httpVersion11);
+            m_request.method(http::verb::get);
+            m_request.target(target);
+            m_request.set(http::field::host, toString(server));
+            m_request.keep_alive(false);
+            m_parser.body_limit(bodyLimitBytes);
+            m_stream.expires_after(timeout);
+            const tcp::endpoint address(boost::asio::ip::make_address(server.address), server.port);
+            m_stream.async_connect(address, [self = shared_from_this()](error_code error) {
+                error ? self->finish(false) : self->send();
+            });
+        }
+
+    private:
+        void send()
+        {
+            http::async_write(
+                m_stream, m_request, [self = shared_from_this()](error_code error, std::size_t) {
+                    error ? self->finish(false) : self->receive();
+                });
+        }
+
+        void receive()
+        {
+            http::async_read(m_stream, m_buffer, m_parser,
+                [self = shared_from_this()](error_code error, std::size_t) { self->finish(!error); });
+        }
+
+        void finish(bool whole)
+        {
+            if (!whole)
+                return m_handler(std::nullopt);
+            auto message = m_parser.release();
+            PlatformReply reply;
+            reply.status = static_cast<int>(message.result_int());
+            const std::string revision(message["Revision"]);
+            if (!absl::SimpleAtoi(revision, &reply.revision))
+                reply.revision = 0;
+            reply.body = std::move(message.body());
+            m_handler(std::move(reply));
+        }
+
+        beast::tcp_stream m_stream;
+        PlatformHandler m_handler;
+        http::request<http::empty_body> m_request;
+        http::response_parser<http::string_body> m_parser;
+        beast::flat_buffer m_buffer;
+    };
+
+} // namespace
+
+void httpGet(boost::asio::io_context& io, const Endpoint& server, const std::string& target,
+    util::Duration timeout, PlatformHandler handler)
+{
+    std::make_shared<Get>(io, std::move(handler))->start(server, target, timeout);
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/operator_duty.cc
@@ -0,0 +1,149 @@
+#include "tarragonhaven/operator_duty.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+
+namespace tarragonhaven {
+
+namespace {
+
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    using boost::system::error_code;
+    using tcp = boost::asio::ip::tcp;
+
+    constexpr auto ioTimeout = std::chrono::seconds(10);
+
+    // One operator's connection: one request, one answer.
+    class OperatorSession : public std::enable_shared_from_this<OperatorSession> {
+    public:
+        using Ask = std::function<void(std::function<void(const StatusReply&)>)>;
+
+        OperatorSession(tcp::socket socket, const NodeState& state, Ask ask)
+            : m_stream(std::move(socket))
+            , m_state(state)
+            , m_ask(std::move(ask))
+        {
+        }
+
+        void start()
+        {
+            m_stream.expires_after(ioTimeout);
+            http::async_read(
+                m_stream, m_buffer, m_request, [self = shared_from_this()](error_code error, std::size_t) {
+                    if (!error)
+                        self->handle();
+                });
+        }
+
+    private:
+        void handle()
+        {
+            const std::string target(m_request.target());
+            if (m_request.method() != http::verb::get)
+                return answer(http::status::method_not_allowed, "text/plain", "only GET is known here\n");
+            if (target == "/live")
+                return answer(http::status::ok, "text/plain", "live\n");
+            if (target == "/ready") {
+                const bool ready = m_state.ready.load();
+                return answer(ready ? http::status::ok : http::status::service_unavailable, "text/plain",
+                    ready ? "ready\n" : "not ready\n");
+            }
+            if (target == "/status" || target == "/metrics")
+                return answerState(target == "/metrics");
+            answer(http::status::not_found, "text/plain", "known are /live, /ready, /status and /metrics\n");
+        }
+
+        void answerState(bool metrics)
+        {
+            m_ask([self = shared_from_this(), metrics](const StatusReply& reply) {
+                if (metrics)
+                    return self->answer(http::status::ok, "text/plain; version=0.0.4", reply.metrics);
+                self->answer(http::status::ok, "application/json", reply.json);
+            });
+        }
+
+        void answer(http::status status, const char* type, const std::string& body)
+        {
+            m_response.result(status);
+            m_response.version(m_request.version());
+            m_response.set(http::field::content_type, type);
+            m_response.keep_alive(false);
+            m_response.body() = body;
+            m_response.prepare_payload();
+            m_stream.expires_after(ioTimeout);
+            http::async_write(
+                m_stream, m_response, [self = shared_from_this()](error_code error, std::size_t) {
+                    self->m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+                });
+        }
+
+        beast::tcp_stream m_stream;
+        const NodeState& m_state;
+        Ask m_ask;
+        beast::flat_buffer m_buffer;
+        http::request<http::string_body> m_request;
+        http::response<http::string_body> m_response;
+    };
+
+} // namespace
+
+OperatorDuty::OperatorDuty(const NodeState& state, util::BoundedRing<StatusRequest>& requests,
+    util::BoundedRing<StatusReply>& replies)
+    : m_state(state)
+    , m_requests(requests)
+    , m_replies(replies)
+    , m_listener(m_io, [this](tcp::socket socket) { accept(std::move(socket)); })
+{
+    m_replies.onPush([this] {
+        boost::asio::post(m_io, [this] {
+            m_replies.drain([this](const StatusReply& reply) {
+                const auto waiting = m_waiting.extract(reply.number);
+                if (!waiting.empty())
+                    waiting.mapped()(reply);
+            });
+        });
+    });
+}
+
+OperatorDuty::~OperatorDuty() { stop(); }
+
+std::string OperatorDuty::open(const Endpoint& endpoint)
+{
+    const auto fault = m_listener.open(endpoint);
+    return fault.empty() ? fault : "operator address: " + fault;
+}
+
+void OperatorDuty::start()
+{
+    m_thread = std::thread([this] {
+        const auto work = boost::asio::make_work_guard(m_io);
+        m_io.run();
+    });
+}
+
+void OperatorDuty::stop()
+{
+    m_io.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void OperatorDuty::accept(tcp::socket socket)
+{
+    std::make_shared<OperatorSession>(std::move(socket), m_state, [this](ReplyHandler handler) {
+        askStatus(std::move(handler));
+    })->start();
+}
+
+void OperatorDuty::askStatus(ReplyHandler handler)
+{
+    const auto number = ++m_lastNumber;
+    m_waiting.emplace(number, std::move(handler));
+    if (!m_requests.push({ number }))
+        m_waiting.erase(number);
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/organisation.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "tarragonhaven/api_key.h"
+#include "tarragonhaven/names.h"
+
+#include <compare>
+#include <vector>
+
+namespace tarragonhaven {
+
+// An organisation, its keys and its limit over the whole fleet.
+struct Organisation {
+    OrganisationName name;
+    double ratePerSecond = 0;
+    // The number of requests that may run at once after a quiet time.
+    int burst = 1;
+    std::vector<ApiKey> keys;
+
+    friend auto operator<=>(const Organisation&, const Organisation&) = default;
+    friend bool operator==(const Organisation&, const Organisation&) = default;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/peer_exchange.cc
@@ -0,0 +1,181 @@
+// What is known when a link breaks decides between "not run" and "unknown". The guard starts a request with a
+// body at the first BodyFrame, so a loss before that is "not run"; it starts one without a body as soon as it
+// has read the OpenFrame, so a loss after that frame was written whole is "unknown".
+
+#include "tarragonhaven/peer_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(35);
+    // Beyond the deadline of a request, so that the guard's own refusal arrives first.
+    constexpr util::Duration answerGrace = std::chrono::milliseconds(500);
+
+    Refusal lost(RunState run, const std::string& detail)
+    {
+        return { run == RunState::NotRun ? RefusalReason::PeerUnreachable : RefusalReason::PeerLost, run,
+            util::Duration {}, detail };
+    }
+
+} // namespace
+
+PeerExchange::PeerExchange(PeerPool& pool, Instance peer, TargetName target, RequestContext context,
+    RequestHead head, ReportHandler onReport)
+    : m_pool(pool)
+    , m_peer(std::move(peer))
+    , m_target(std::move(target))
+    , m_context(std::move(context))
+    , m_head(std::move(head))
+    , m_onReport(std::move(onReport))
+{
+}
+
+PeerExchange::~PeerExchange() { cancel(); }
+
+void PeerExchange::cancel()
+{
+    m_cancelled = true;
+    if (m_link)
+        m_link->close();
+}
+
+util::Duration PeerExchange::remaining() const
+{
+    return std::max<util::Duration>(
+        m_context.deadline - util::BootClock::now(), std::chrono::milliseconds(1));
+}
+
+OpenFrame PeerExchange::openFrame() const
+{
+    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(remaining());
+    return { m_context.requestId, m_context.organisation.text, m_target.text, m_context.idempotent,
+        microseconds.count(), m_context.digest, m_head };
+}
+
+void PeerExchange::open(OutcomeHandler<void> handler)
+{
+    m_pool.take(m_peer,
+        [self = shared_from_this(), handler = std::move(handler)](Outcome<std::shared_ptr<PeerLink>> link) {
+            if (self->m_cancelled)
+                return;
+            if (!link)
+                return handler(tl::unexpected(link.error()));
+            self->m_link = *link;
+            self->sendOpen(handler);
+        });
+}
+
+void PeerExchange::sendOpen(OutcomeHandler<void> handler)
+{
+    m_link->write(openFrame(), [self = shared_from_this(), handler = std::move(handler)](bool written) {
+        if (!written)
+            return handler(tl::unexpected(lost(RunState::NotRun, self->m_link->error())));
+        if (self->m_head.hasBody)
+            return self->awaitOpened(handler);
+        handler({});
+    });
+}
+
+void PeerExchange::awaitOpened(const OutcomeHandler<void>& handler)
+{
+    readFrame(
+        remaining() + answerGrace, [self = shared_from_this(), handler](std::optional<PeerFrame> frame) {
+            const auto* opened = frame ? std::get_if<OpenedFrame>(&*frame) : nullptr;
+            if (opened && opened->requestId == self->m_context.requestId)
+                return handler({});
+            handler(tl::unexpected(self->refusalOf(frame, RunState::NotRun)));
+        });
+}
+
+// Reads the next frame of the exchange. A goodbye may come between frames; what was opened goes on.
+void PeerExchange::readFrame(util::Duration timeout, PeerLink::FrameHandler handler)
+{
+    m_link->read(timeout, [self = shared_from_this(), timeout, handler = std::move(handler)](auto frame) {
+        if (!frame || !std::holds_alternative<GoodbyeFrame>(*frame))
+            return handler(std::move(frame));
+        self->m_peerStops = true;
+        self->readFrame(timeout, handler);
+    });
+}
+
+void PeerExchange::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
+{
+    if (!m_head.hasBody) {
+        m_requestSent = true;
+        boost::asio::post(m_pool.io(), [self = shared_from_this(), handler = std::move(handler)] {
+            if (!self->m_cancelled)
+                handler({});
+        });
+        return;
+    }
+    const bool last = chunk.last;
+    m_bodyStarted = true;
+    m_link->write(BodyFrame { m_context.requestId, std::move(chunk) },
+        [self = shared_from_this(), last, handler = std::move(handler)](bool written) {
+            if (!written)
+                return handler(tl::unexpected(lost(RunState::Unknown, self->m_link->error())));
+            self->m_requestSent = last;
+            handler({});
+        });
+}
+
+void PeerExchange::readHead(OutcomeHandler<ResponseHead> handler)
+{
+    readFrame(remaining() + answerGrace,
+        [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
+            const auto* response = frame ? std::get_if<ResponseFrame>(&*frame) : nullptr;
+            if (!response || response->requestId != self->m_context.requestId)
+                return handler(tl::unexpected(self->refusalOf(frame, RunState::Unknown)));
+            self->m_onReport(response->report);
+            self->noteLast(!response->head.hasBody);
+            handler(response->head);
+        });
+}
+
+void PeerExchange::readBody(OutcomeHandler<BodyChunk> handler)
+{
+    readFrame(bodyIdleTimeout,
+        [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
+            auto* body = frame ? std::get_if<BodyFrame>(&*frame) : nullptr;
+            if (!body || body->requestId != self->m_context.requestId)
+                return handler(tl::unexpected(self->refusalOf(frame, RunState::Unknown)));
+            self->noteLast(body->chunk.last);
+            handler(std::move(body->chunk));
+        });
+}
+
+// Reads a refusal of the guard. The link is kept after one unless the request's body was under way.
+Refusal PeerExchange::refusalOf(const std::optional<PeerFrame>& frame, RunState ifLost)
+{
+    const auto* refused = frame ? std::get_if<RefusedFrame>(&*frame) : nullptr;
+    if (refused && refused->requestId == m_context.requestId) {
+        m_onReport(refused->report);
+        const auto refusal = toRefusal(*refused);
+        if (refusal && !m_bodyStarted)
+            giveBack();
+        if (refusal)
+            return *refusal;
+    }
+    const std::string why = frame ? "an unexpected frame" : m_link->error();
+    m_link->close();
+    return lost(ifLost, why);
+}
+
+void PeerExchange::noteLast(bool last)
+{
+    if (last && m_requestSent)
+        giveBack();
+}
+
+void PeerExchange::giveBack()
+{
+    if (!m_peerStops)
+        m_pool.give(m_peer.name, std::exchange(m_link, nullptr));
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/peer_exchange.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "tarragonhaven/exchange.h"
+#include "tarragonhaven/peer_pool.h"
+#include "tarragonhaven/request_context.h"
+
+#include <functional>
+#include <memory>
+
+namespace tarragonhaven {
+
+// An exchange with a target that another node guards, over a link to that node. Each frame names the request;
+// a frame of another request is a broken link, never an answer.
+class PeerExchange : public std::enable_shared_from_this<PeerExchange> {
+public:
+    using ReportHandler = std::function<void(const TargetReport&)>;
+
+    PeerExchange(PeerPool& pool, Instance peer, TargetName target, RequestContext context, RequestHead head,
+        ReportHandler onReport);
+    ~PeerExchange();
+    PeerExchange(const PeerExchange&) = delete;
+    PeerExchange& operator=(const PeerExchange&) = delete;
+
+    void open(OutcomeHandler<void> handler);
+    void writeBody(BodyChunk chunk, OutcomeHandler<void> handler);
+    void readHead(OutcomeHandler<ResponseHead> handler);
+    void readBody(OutcomeHandler<BodyChunk> handler);
+    void cancel();
+
+private:
+    void sendOpen(OutcomeHandler<void> handler);
+    void awaitOpened(const OutcomeHandler<void>& handler);
+    [[nodiscard]] OpenFrame openFrame() const;
+    [[nodiscard]] util::Duration remaining() const;
+    Refusal refusalOf(const std::optional<PeerFrame>& frame, RunState ifLost);
+    void readFrame(util::Duration timeout, PeerLink::FrameHandler handler);
+    void noteLast(bool last);
+    void giveBack();
+
+    PeerPool& m_pool;
+    Instance m_peer;
+    TargetName m_target;
+    RequestContext m_context;
+    RequestHead m_head;
+    ReportHandler m_onReport;
+    std::shared_ptr<PeerLink> m_link;
+    bool m_cancelled = false;
+    bool m_requestSent = false;
+    bool m_bodyStarted = false;
+    bool m_peerStops = false;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/peer_link.cc
@@ -0,0 +1,210 @@
+// Frames are read in two steps, the length and then the bytes, into a buffer that grows to the frame at hand
+// and no further than maximumFrameBytes. A link that fails is closed and stays so.
+
+#include "tarragonhaven/peer_link.h"
+
+#include <array>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <utility>
+
+namespace tarragonhaven {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using boost::system::error_code;
+    using tcp = asio::ip::tcp;
+
+    constexpr util::Duration writeTimeout = std::chrono::seconds(30);
+
+} // namespace
+
+class PeerLink::Rep : public std::enable_shared_from_this<PeerLink::Rep> {
+public:
+    Rep(boost::beast::tcp_stream stream, HelloFrame self)
+        : m_stream(std::move(stream))
+        , m_self(std::move(self))
+    {
+    }
+
+    void connect(const Endpoint& endpoint, util::Duration timeout, Done done)
+    {
+        m_stream.expires_after(timeout);
+        const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+        m_stream.async_connect(
+            address, [self = shared_from_this(), timeout, done = std::move(done)](error_code error) {
+                if (self->m_closed)
+                    return;
+                if (error) {
+                    self->fail(error.message());
+                    return done(false);
+                }
+                self->setNoDelay();
+                self->write(self->m_self, [self, timeout, done](bool written) {
+                    if (!written)
+                        return done(false);
+                    self->readHello(timeout, done);
+                });
+            });
+    }
+
+    void accept(util::Duration timeout, Done done)
+    {
+        setNoDelay();
+        readHello(timeout, [self = shared_from_this(), done = std::move(done)](bool accepted) {
+            if (!accepted)
+                return done(false);
+            self->write(self->m_self, done);
+        });
+    }
+
+    void write(const PeerFrame& frame, Done done)
+    {
+        m_out = encodeFrame(frame);
+        m_stream.expires_after(writeTimeout);
+        asio::async_write(m_stream, asio::buffer(m_out),
+            [self = shared_from_this(), done = std::move(done)](error_code error, std::size_t) {
+                if (self->m_closed)
+                    return;
+                if (error)
+                    self->fail(error.message());
+                done(!error);
+            });
+    }
+
+    void read(util::Duration timeout, FrameHandler handler)
+    {
+        m_stream.expires_after(timeout);
+        asio::async_read(m_stream, asio::buffer(m_length),
+            [self = shared_from_this(), handler = std::move(handler)](error_code error, std::size_t) {
+                if (self->m_closed)
+                    return;
+                const auto length = decodeFrameLength({ self->m_length.data(), self->m_length.size() });
+                if (error || !length) {
+                    self->fail(error ? error.message() : "a frame of impossible length");
+                    return handler(std::nullopt);
+                }
+                self->readPayload(*length, handler);
+            });
+    }
+
+    void close()
+    {
+        m_closed = true;
+        error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+    bool stillOpen()
+    {
+        if (m_closed || !m_error.empty())
+            return false;
+        error_code error;
+        m_stream.socket().non_blocking(true, error);
+        char byte = 0;
+        m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    [[nodiscard]] const HelloFrame& peer() const { return m_peer; }
+    [[nodiscard]] const std::string& error() const { return m_error; }
+
+private:
+    void setNoDelay()
+    {
+        error_code ignored;
+        m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    }
+
+    void fail(const std::string& why)
+    {
+        if (m_error.empty())
+            m_error = why.empty() ? "closed" : why;
+        error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+    void readPayload(std::size_t length, const FrameHandler& handler)
+    {
+        m_in.resize(length);
+        asio::async_read(m_stream, asio::buffer(m_in),
+            [self = shared_from_this(), handler](error_code error, std::size_t) {
+                if (self->m_closed)
+                    return;
+                auto frame = error ? std::nullopt : decodeFrame(self->m_in);
+                self->m_in.clear();
+                self->m_in.shrink_to_fit();
+                if (!frame)
+                    self->fail(error ? error.message() : "bytes that are no frame");
+                handler(std::move(frame));
+            });
+    }
+
+    void readHello(util::Duration timeout, Done done)
+    {
+        read(timeout, [self = shared_from_this(), done = std::move(done)](std::optional<PeerFrame> frame) {
+            done(frame && self->checkHello(*frame));
+        });
+    }
+
+    bool checkHello(const PeerFrame& frame)
+    {
+        const auto* hello = std::get_if<HelloFrame>(&frame);
+        if (!hello)
+            fail("the first frame is no hello");
+        else if (hello->version != m_self.version)
+            fail("the peer speaks version " + std::to_string(hello->version));
+        else if (hello->fleet != m_self.fleet)
+            fail("the peer is of another fleet");
+        else
+            m_peer = *hello;
+        return m_error.empty();
+    }
+
+    boost::beast::tcp_stream m_stream;
+    HelloFrame m_self;
+    HelloFrame m_peer;
+    std::array<char, frameLengthBytes> m_length {};
+    std::string m_in;
+    std::string m_out;
+    std::string m_error;
+    bool m_closed = false;
+};
+
+PeerLink::PeerLink(asio::io_context& io, HelloFrame self)
+    : m_rep(std::make_shared<Rep>(boost::beast::tcp_stream(io), std::move(self)))
+{
+}
+
+PeerLink::PeerLink(tcp::socket socket, HelloFrame self)
+    : m_rep(std::make_shared<Rep>(boost::beast::tcp_stream(std::move(socket)), std::move(self)))
+{
+}
+
+PeerLink::~PeerLink() { m_rep->close(); }
+
+void PeerLink::connect(const Endpoint& endpoint, util::Duration timeout, Done done)
+{
+    m_rep->connect(endpoint, timeout, std::move(done));
+}
+
+void PeerLink::accept(util::Duration timeout, Done done) { m_rep->accept(timeout, std::move(done)); }
+
+void PeerLink::write(const PeerFrame& frame, Done done) { m_rep->write(frame, std::move(done)); }
+
+void PeerLink::read(util::Duration timeout, FrameHandler handler)
+{
+    m_rep->read(timeout, std::move(handler));
+}
+
+void PeerLink::close() { m_rep->close(); }
+
+bool PeerLink::stillOpen() { return m_rep->stillOpen(); }
+
+const HelloFrame& PeerLink::peer() const { return m_rep->peer(); }
+
+const std::string& PeerLink::error() const { return m_rep->error(); }
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/peer_link.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/peer_frame.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace tarragonhaven {
+
+// A TCP connection between two nodes that carries frames. It checks the hello of the other side and closes on
+// bytes that are no frame. One read and one write may be under way at a time. Handlers run on the thread of
+// the io_context; after close() none runs.
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+    using Done = std::function<void(bool)>;
+    // Gets nothing when the link has failed or ended.
+    using FrameHandler = std::function<void(std::optional<PeerFrame>)>;
+
+    PeerLink(boost::asio::io_context& io, HelloFrame self);
+    // A link over a socket that was accepted.
+    PeerLink(boost::asio::ip::tcp::socket socket, HelloFrame self);
+    ~PeerLink();
+    PeerLink(const PeerLink&) = delete;
+    PeerLink& operator=(const PeerLink&) = delete;
+
+    // Connects, sends the hello and checks the answer.
+    void connect(const Endpoint& endpoint, util::Duration timeout, Done done);
+    // Waits for the hello of the side that connected and answers it.
+    void accept(util::Duration timeout, Done done);
+    void write(const PeerFrame& frame, Done done);
+    // Waits for the next frame for at most `timeout`.
+    void read(util::Duration timeout, FrameHandler handler);
+    void close();
+
+    // Whether an idle link is still open and silent.
+    [[nodiscard]] bool stillOpen();
+    // Who is at the other end; set once the hello was checked.
+    [[nodiscard]] const HelloFrame& peer() const;
+    // Why the link failed, for the log.
+    [[nodiscard]] const std::string& error() const;
+
+private:
+    class Rep;
+    std::shared_ptr<Rep> m_rep;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/peer_pool.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "tarragonhaven/configuration.h"
+#include "tarragonhaven/exchange.h"
+#include "tarragonhaven/peer_link.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace tarragonhaven {
+
+// Kept links from this node to others. A link carries one request at a time, so that answers cannot cross and
+// the socket's own flow control sets the pace; it returns to the pool when its exchange has ended cleanly.
+class PeerPool {
+public:
+    using LinkHandler = OutcomeHandler<std::shared_ptr<PeerLink>>;
+
+    PeerPool(boost::asio::io_context& io, HelloFrame self);
+
+    // Finds or makes a link to `peer`. A refusal is "not run".
+    void take(const Instance& peer, LinkHandler handler);
+    void give(const InstanceName& peer, std::shared_ptr<PeerLink> link);
+    // Closes the idle links to a peer that stops.
+    void forget(const InstanceName& peer);
+
+    [[nodiscard]] boost::asio::io_context& io() { return m_io; }
+
+private:
+    boost::asio::io_context& m_io;
+    HelloFrame m_self;
+    std::map<InstanceName, std::vector<std::shared_ptr<PeerLink>>> m_idle;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/peer_session.cc
@@ -0,0 +1,155 @@
+#include "tarragonhaven/peer_session.h"
+
+#include "tarragonhaven/relay.h"
+
+#include <utility>
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr util::Duration helloTimeout = std::chrono::seconds(5);
+    constexpr util::Duration idleTimeout = std::chrono::minutes(10);
+    constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(30);
+
+} // namespace
+
+PeerSession::PeerSession(PeerHost& host, std::shared_ptr<PeerLink> link)
+    : m_host(host)
+    , m_link(std::move(link))
+{
+}
+
+void PeerSession::start()
+{
+    m_link->accept(helloTimeout, [self = shared_from_this()](bool accepted) {
+        if (!accepted)
+            return self->end();
+        self->next();
+    });
+}
+
+void PeerSession::stop()
+{
+    m_stopping = true;
+    if (!m_busy)
+        m_link->write(GoodbyeFrame {}, [self = shared_from_this()](bool) {});
+}
+
+void PeerSession::close()
+{
+    m_link->close();
+    m_exchange.reset();
+}
+
+void PeerSession::next()
+{
+    m_exchange.reset();
+    m_busy = false;
+    m_link->read(idleTimeout, [self = shared_from_this()](std::optional<PeerFrame> frame) {
+        if (!frame)
+            return self->end();
+        self->handle(*frame);
+    });
+}
+
+void PeerSession::handle(const PeerFrame& frame)
+{
+    if (const auto* open = std::get_if<OpenFrame>(&frame))
+        return handleOpen(*open);
+    if (const auto* request = std::get_if<ValueRequestFrame>(&frame)) {
+        m_link->write(m_host.value(request->name), [self = shared_from_this()](bool written) {
+            if (!written)
+                return self->end();
+            self->next();
+        });
+        return;
+    }
+    end();
+}
+
+void PeerSession::handleOpen(const OpenFrame& frame)
+{
+    m_busy = true;
+    m_requestId = frame.requestId;
+    m_bodyDue = frame.head.hasBody;
+    m_target = m_host.guard().find({ frame.target });
+    if (!m_target)
+        return refuse({ RefusalReason::NoTarget, RunState::NotRun, util::Duration {}, "not guarded here" });
+    RequestContext context;
+    context.requestId = frame.requestId;
+    context.organisation = { frame.organisation };
+    context.idempotent = frame.idempotent;
+    context.deadline = util::BootClock::now() + std::chrono::microseconds(frame.remainingUs);
+    context.digest = frame.digest;
+    m_exchange = std::make_shared<GuardExchange>(m_target, std::move(context), frame.head);
+    std::make_shared<Relay<PeerSession, GuardExchange>>(shared_from_this(), m_exchange, frame.head.hasBody)
+        ->start();
+}
+
+void PeerSession::opened(std::function<void(bool)> handler)
+{
+    if (!m_bodyDue)
+        return handler(true);
+    m_link->write(OpenedFrame { m_requestId }, std::move(handler));
+}
+
+void PeerSession::readBody(std::function<void(bool, BodyChunk)> handler)
+{
+    m_link->read(bodyIdleTimeout,
+        [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
+            auto* body = frame ? std::get_if<BodyFrame>(&*frame) : nullptr;
+            const bool ours = body && body->requestId == self->m_requestId;
+            if (!ours) {
+                handler(false, {});
+                return self->end();
+            }
+            self->m_bodyDue = !body->chunk.last;
+            handler(true, std::move(body->chunk));
+        });
+}
+
+void PeerSession::writeHead(const ResponseHead& head, std::function<void(bool)> handler)
+{
+    m_link->write(ResponseFrame { m_requestId, head, m_target->report() }, std::move(handler));
+}
+
+void PeerSession::writeBody(BodyChunk chunk, std::function<void(bool)> handler)
+{
+    m_link->write(BodyFrame { m_requestId, std::move(chunk) }, std::move(handler));
+}
+
+void PeerSession::refuse(const Refusal& refusal) { sendRefusal(refusal); }
+
+void PeerSession::cut(const Refusal& refusal) { sendRefusal(refusal); }
+
+void PeerSession::sendRefusal(const Refusal& refusal)
+{
+    const auto report = m_target ? m_target->report() : TargetReport {};
+    m_link->write(toFrame(m_requestId, refusal, report), [self = shared_from_this()](bool written) {
+        if (!written)
+            return self->end();
+        self->finished();
+    });
+}
+
+void PeerSession::finished()
+{
+    if (m_stopping) {
+        m_link->write(GoodbyeFrame {}, [self = shared_from_this()](bool written) {
+            if (!written)
+                return self->end();
+            self->next();
+        });
+        return;
+    }
+    next();
+}
+
+void PeerSession::end()
+{
+    m_host.peerEnded(m_link->peer().instance, m_link->error());
+    m_link->close();
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/refusal.cc
@@ -0,0 +1,79 @@
+#include "tarragonhaven/refusal.h"
+
+#include "util/check.h"
+
+#include <array>
+
+namespace tarragonhaven {
+
+namespace {
+
+    struct ReasonRow {
+        RefusalReason reason;
+        std::string_view name;
+        int status;
+    };
+
+    constexpr std::array<ReasonRow, refusalReasonCount> reasonRows { {
+        { RefusalReason::MalformedRequest, "malformed-request", 400 },
+        { RefusalReason::HeaderTooLarge, "header-too-large", 431 },
+        { RefusalReason::BodyTooLarge, "body-too-large", 413 },
+        { RefusalReason::VersionUnsupported, "version-unsupported", 505 },
+        { RefusalReason::KeyMissing, "key-missing", 401 },
+        { RefusalReason::KeyInQuery, "key-in-query", 400 },
+        { RefusalReason::KeyNotAccepted, "key-not-accepted", 401 },
+        { RefusalReason::KeysMayBeStale, "keys-may-be-stale", 503 },
+        { RefusalReason::RouteUnknown, "route-unknown", 404 },
+        { RefusalReason::MethodNotRouted, "method-not-routed", 405 },
+        { RefusalReason::RateExceeded, "rate-exceeded", 429 },
+        { RefusalReason::LimitUnavailable, "limit-unavailable", 503 },
+        { RefusalReason::IdentityMissing, "identity-missing", 428 },
+        { RefusalReason::IdentityMalformed, "identity-malformed", 400 },
+        { RefusalReason::IdentityExpired, "identity-expired", 409 },
+        { RefusalReason::IdentityInUse, "identity-in-use", 409 },
+        { RefusalReason::IdentityCompleted, "identity-completed", 409 },
+        { RefusalReason::IdentityUnknown, "identity-unknown", 409 },
+        { RefusalReason::RecorderUnreachable, "recorder-unreachable", 503 },
+        { RefusalReason::NoTarget, "no-target", 503 },
+        { RefusalReason::QueueTimeout, "queue-timeout", 503 },
+        { RefusalReason::QueueFull, "queue-full", 503 },
+        { RefusalReason::TargetUnreachable, "target-unreachable", 502 },
+        { RefusalReason::TargetFailed, "target-failed", 502 },
+        { RefusalReason::TargetTimeout, "target-timeout", 504 },
+        { RefusalReason::TargetBadFraming, "target-bad-framing", 502 },
+        { RefusalReason::PeerUnreachable, "peer-unreachable", 502 },
+        { RefusalReason::PeerLost, "peer-lost", 502 },
+        { RefusalReason::Quarantined, "quarantined", 503 },
+        { RefusalReason::NotReady, "not-ready", 503 },
+        { RefusalReason::Stopping, "stopping", 503 },
+    } };
+
+    const ReasonRow& rowOf(RefusalReason reason)
+    {
+        const auto index = static_cast<std::size_t>(reason);
+        TARRAGONHAVEN_CHECK(index < reasonRows.size(), "a refusal reason is one of the enumerators");
+        TARRAGONHAVEN_CHECK(
+            reasonRows[index].reason == reason, "the table of reasons follows the enumeration");
+        return reasonRows[index];
+    }
+
+} // namespace
+
+std::string_view name(RefusalReason reason) { return rowOf(reason).name; }
+
+int httpStatus(RefusalReason reason) { return rowOf(reason).status; }
+
+std::string_view name(RunState run)
+{
+    switch (run) {
+    case RunState::NotRun:
+        return "not-run";
+    case RunState::Unknown:
+        return "unknown";
+    case RunState::Ran:
+        return "ran";
+    }
+    return "unknown";
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/refusal.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "util/time.h"
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+namespace tarragonhaven {
+
+// What is known of whether a refused request ran on a target.
+enum class RunState {
+    // It certainly did not start.
+    NotRun,
+    // It may have run, wholly or in part.
+    Unknown,
+    // It ran to its end before; this answer is about a repetition of it.
+    Ran,
+};
+
+// Why a request got no answer of a target.
+enum class RefusalReason {
+    MalformedRequest,
+    HeaderTooLarge,
+    BodyTooLarge,
+    VersionUnsupported,
+    KeyMissing,
+    KeyInQuery,
+    KeyNotAccepted,
+    KeysMayBeStale,
+    RouteUnknown,
+    MethodNotRouted,
+    RateExceeded,
+    LimitUnavailable,
+    IdentityMissing,
+    IdentityMalformed,
+    IdentityExpired,
+    IdentityInUse,
+    IdentityCompleted,
+    IdentityUnknown,
+    RecorderUnreachable,
+    NoTarget,
+    QueueTimeout,
+    QueueFull,
+    TargetUnreachable,
+    TargetFailed,
+    TargetTimeout,
+    TargetBadFraming,
+    PeerUnreachable,
+    PeerLost,
+    Quarantined,
+    NotReady,
+    Stopping,
+};
+
+// A refusal: an outcome that a caller is told instead of a target's answer.
+struct Refusal {
+    RefusalReason reason = RefusalReason::NotReady;
+    RunState run = RunState::NotRun;
+    // When the caller may try again; zero when trying again does not help.
+    util::Duration retryAfter {};
+    // Free text for operators and callers; never holds a key or a body.
+    std::string detail;
+
+    friend auto operator<=>(const Refusal&, const Refusal&) = default;
+    friend bool operator==(const Refusal&, const Refusal&) = default;
+};
+
+// The name of a reason in answers, logs and metrics, in lower case with hyphens.
+std::string_view name(RefusalReason reason);
+// The HTTP status of a reason.
+int httpStatus(RefusalReason reason);
+// "not-run", "unknown" or "ran".
+std::string_view name(RunState run);
+
+// The number of reasons; enumerators run from 0 to this less one.
+inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::Stopping) + 1;
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/route_table.cc
@@ -0,0 +1,94 @@
+// A tree of segments. The search goes depth first, literal before "*" before "**", and backtracks, so that
+// the most specific pattern that fits the whole path is found.
+
+#include "tarragonhaven/route_table.h"
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr std::string_view anySegmentPattern = "*";
+    constexpr std::string_view restPattern = "**";
+
+    const Route* findMethod(const std::map<std::string, Route, std::less<>>& routes, std::string_view method)
+    {
+        const auto found = routes.find(method);
+        return found == routes.end() ? nullptr : &found->second;
+    }
+
+} // namespace
+
+RouteTable::RouteTable(const std::vector<Route>& routes)
+{
+    for (const auto& route : routes)
+        add(route);
+}
+
+RouteTable::Segments RouteTable::segmentsOf(std::string_view path)
+{
+    Segments segments;
+    if (path.starts_with('/'))
+        path.remove_prefix(1);
+    while (!path.empty()) {
+        const auto slash = path.find('/');
+        segments.push_back(path.substr(0, slash));
+        path = slash == std::string_view::npos ? std::string_view {} : path.substr(slash + 1);
+    }
+    return segments;
+}
+
+void RouteTable::add(const Route& route)
+{
+    auto* node = m_root.get();
+    for (const auto segment : segmentsOf(route.pattern)) {
+        if (segment == restPattern) {
+            node->rest.emplace(route.method, route);
+            return;
+        }
+        auto& next = segment == anySegmentPattern ? node->anySegment : node->literal[std::string(segment)];
+        if (!next)
+            next = std::make_unique<Node>();
+        node = next.get();
+    }
+    node->exact.emplace(route.method, route);
+}
+
+const Route* RouteTable::search(
+    const Node& node, const Segments& segments, std::size_t depth, std::string_view method)
+{
+    if (depth == segments.size()) {
+        const auto* exact = findMethod(node.exact, method);
+        return exact ? exact : findMethod(node.rest, method);
+    }
+    const auto literal = node.literal.find(segments[depth]);
+    if (literal != node.literal.end()) {
+        if (const auto* found = search(*literal->second, segments, depth + 1, method))
+            return found;
+    }
+    if (node.anySegment) {
+        if (const auto* found = search(*node.anySegment, segments, depth + 1, method))
+            return found;
+    }
+    return findMethod(node.rest, method);
+}
+
+bool RouteTable::searchPath(const Node& node, const Segments& segments, std::size_t depth)
+{
+    if (!node.rest.empty())
+        return true;
+    if (depth == segments.size())
+        return !node.exact.empty();
+    const auto literal = node.literal.find(segments[depth]);
+    if (literal != node.literal.end() && searchPath(*literal->second, segments, depth + 1))
+        return true;
+    return node.anySegment && searchPath(*node.anySegment, segments, depth + 1);
+}
+
+const Route* RouteTable::find(std::string_view method, std::string_view path) const
+{
+    return search(*m_root, segmentsOf(path), 0, method);
+}
+
+bool RouteTable::knowsPath(std::string_view path) const { return searchPath(*m_root, segmentsOf(path), 0); }
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/route_table.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "tarragonhaven/route.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tarragonhaven {
+
+// Finds the route of a method and a path. A literal segment goes before "*", and "*" before "**", at every
+// segment from the left. A lookup costs the number of segments of the path times the number of patterns that
+// overlap with it, which declarations keep at one or two.
+class RouteTable {
+public:
+    RouteTable() = default;
+    explicit RouteTable(const std::vector<Route>& routes);
+
+    // The route, or null. `path` is the part of the request target before "?".
+    [[nodiscard]] const Route* find(std::string_view method, std::string_view path) const;
+    // Whether any method is routed at `path`.
+    [[nodiscard]] bool knowsPath(std::string_view path) const;
+
+private:
+    struct Node {
+        std::map<std::string, std::unique_ptr<Node>, std::less<>> literal;
+        std::unique_ptr<Node> anySegment;
+        // Routes that end here and routes that end here with "**", by method.
+        std::map<std::string, Route, std::less<>> exact;
+        std::map<std::string, Route, std::less<>> rest;
+    };
+    using Segments = std::vector<std::string_view>;
+
+    static Segments segmentsOf(std::string_view path);
+    void add(const Route& route);
+    static const Route* search(
+        const Node& node, const Segments& segments, std::size_t depth, std::string_view method);
+    static bool searchPath(const Node& node, const Segments& segments, std::size_t depth);
+
+    std::shared_ptr<Node> m_root = std::make_shared<Node>();
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/service_health.cc
@@ -0,0 +1,287 @@
+// Candidates are ranked by evidence and ejected from the worst on while the floor allows. An evaluation costs
+// O(n log n) in the targets of the service, a report O(n) for the median that it is compared with.
+
+#include "tarragonhaven/service_health.h"
+
+#include "util/check.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr double fastThreshold = 8;
+    constexpr double balancedThreshold = 12;
+    constexpr double carefulThreshold = 18;
+    // A target on probation or ramping needs less evidence to go again.
+    constexpr double returningFactor = 0.6;
+    constexpr long fewestSamples = 3;
+    constexpr util::Duration keptLogInterval = std::chrono::seconds(5);
+    constexpr int percent = 100;
+
+    double median(std::vector<double>& values)
+    {
+        if (values.empty())
+            return 0;
+        const auto middle = values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+        std::nth_element(values.begin(), middle, values.end());
+        return *middle;
+    }
+
+} // namespace
+
+std::string_view name(EjectionEvent event)
+{
+    switch (event) {
+    case EjectionEvent::Ejected:
+        return "ejected";
+    case EjectionEvent::KeptByFloor:
+        return "kept-by-floor";
+    case EjectionEvent::Reinstated:
+        return "reinstated";
+    case EjectionEvent::ProbationStarted:
+        return "probation";
+    case EjectionEvent::RampStarted:
+        return "ramp";
+    case EjectionEvent::Recovered:
+        return "recovered";
+    }
+    return "ejected";
+}
+
+ServiceHealth::ServiceHealth(Service service)
+    : m_service(std::move(service))
+{
+    update(m_service);
+}
+
+void ServiceHealth::update(const Service& service)
+{
+    m_service = service;
+    std::set<TargetName> declared;
+    for (const auto& target : m_service.targets) {
+        declared.insert(target.name);
+        m_states[target.name].target = target;
+    }
+    std::erase_if(m_states, [&declared](const auto& item) { return !declared.contains(item.first); });
+}
+
+PeerBaseline ServiceHealth::baselineFor(const TargetName& target) const
+{
+    std::vector<double> latencies;
+    std::vector<double> shares;
+    for (const auto& [name, state] : m_states) {
+        if (name == target || state.evidence.samples() < fewestSamples)
+            continue;
+        latencies.push_back(state.evidence.logLatency());
+        shares.push_back(state.evidence.failureShare());
+    }
+    const bool known = !latencies.empty();
+    return { median(latencies), median(shares), known };
+}
+
+void ServiceHealth::noteReport(const TargetName& target, const TargetReport& report, util::Time now)
+{
+    const auto found = m_states.find(target);
+    if (found == m_states.end())
+        return;
+    auto& state = found->second;
+    const auto delta = state.evidence.noteReport(report, baselineFor(target));
+    if (!delta.fresh)
+        return;
+    state.sentSinceReport = 0;
+    if (delta.failures == 0 && delta.answers > 0)
+        state.standing.noteGood(delta.answers, now);
+}
+
+void ServiceHealth::notePathFailure(const TargetName& target)
+{
+    const auto found = m_states.find(target);
+    if (found != m_states.end())
+        found->second.evidence.notePathFailure(baselineFor(target));
+}
+
+void ServiceHealth::noteWaiting(const TargetName& target, util::Duration age, util::Duration previousAge)
+{
+    const auto found = m_states.find(target);
+    if (found != m_states.end())
+        found->second.evidence.noteWaiting(age, previousAge, baselineFor(target));
+}
+
+void ServiceHealth::noteSent(const TargetName& target)
+{
+    const auto found = m_states.find(target);
+    if (found == m_states.end())
+        return;
+    ++found->second.sentSinceReport;
+    ++found->second.inFlight;
+}
+
+void ServiceHealth::noteReturned(const TargetName& target)
+{
+    const auto found = m_states.find(target);
+    if (found != m_states.end())
+        found->second.inFlight = std::max(0, found->second.inFlight - 1);
+}
+
+void ServiceHealth::markLeaving(const std::set<InstanceName>& instances)
+{
+    for (auto& [name, state] : m_states)
+        state.leaving = instances.contains(state.target.instance);
+}
+
+bool ServiceHealth::countsForFloor(const State& state)
+{
+    const auto standing = state.standing.standing();
+    const bool trusted = standing == Standing::Active || standing == Standing::Ramp;
+    return trusted && !state.leaving && !state.evidence.lastReport().draining;
+}
+
+int ServiceHealth::slotsInUse() const
+{
+    int slots = 0;
+    for (const auto& [name, state] : m_states)
+        slots += countsForFloor(state) ? state.target.slots : 0;
+    return slots;
+}
+
+int ServiceHealth::floorSlots() const
+{
+    int slots = 0;
+    for (const auto& [name, state] : m_states)
+        slots += state.target.slots;
+    return (slots * m_service.floorPercent + percent - 1) / percent;
+}
+
+double ServiceHealth::excessScore(const TargetName& target) const
+{
+    std::vector<double> others;
+    double own = 0;
+    for (const auto& [name, state] : m_states) {
+        if (name == target)
+            own = state.evidence.score();
+        else
+            others.push_back(state.evidence.score());
+    }
+    return own - median(others);
+}
+
+double ServiceHealth::threshold(Standing standing) const
+{
+    const double full = m_service.stance == EjectionStance::Fast ? fastThreshold
+        : m_service.stance == EjectionStance::Careful            ? carefulThreshold
+                                                                 : balancedThreshold;
+    return standing == Standing::Active ? full : full * returningFactor;
+}
+
+EjectionDecision ServiceHealth::decision(const State& state, EjectionEvent event, double score) const
+{
+    return { state.target.name, event, score, slotsInUse(), floorSlots() };
+}
+
+void ServiceHealth::advanceStandings(util::Time now, std::vector<EjectionDecision>& decisions)
+{
+    for (auto& [name, state] : m_states) {
+        const auto before = state.standing.standing();
+        state.standing.advance(now);
+        const auto after = state.standing.standing();
+        if (before == Standing::Ejected && after == Standing::Probation) {
+            state.evidence.resetScores();
+            decisions.push_back(decision(state, EjectionEvent::ProbationStarted, 0));
+        }
+        if (before == Standing::Ramp && after == Standing::Active)
+            decisions.push_back(decision(state, EjectionEvent::Recovered, state.evidence.score()));
+    }
+}
+
+void ServiceHealth::noteKeptByFloor(
+    const State& state, double score, util::Time now, std::vector<EjectionDecision>& decisions)
+{
+    auto& logged = m_keptLogged[state.target.name];
+    if (now - logged < keptLogInterval)
+        return;
+    logged = now;
+    decisions.push_back(decision(state, EjectionEvent::KeptByFloor, score));
+}
+
+void ServiceHealth::eject(util::Time now, std::vector<EjectionDecision>& decisions)
+{
+    std::vector<std::pair<double, State*>> candidates;
+    for (auto& [name, state] : m_states) {
+        const double excess = excessScore(name);
+        const auto standing = state.standing.standing();
+        if (standing != Standing::Ejected && excess >= threshold(standing))
+            candidates.emplace_back(excess, &state);
+    }
+    std::sort(
+        candidates.begin(), candidates.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (const auto& [excess, state] : candidates) {
+        const int lost = countsForFloor(*state) ? state->target.slots : 0;
+        if (lost > 0 && slotsInUse() - lost < floorSlots()) {
+            noteKeptByFloor(*state, excess, now, decisions);
+            continue;
+        }
+        state->standing.condemn(now);
+        TARRAGONHAVEN_CHECK(lost == 0 || slotsInUse() >= floorSlots(), "an ejection leaves the floor in use");
+        decisions.push_back(decision(*state, EjectionEvent::Ejected, excess));
+    }
+}
+
+// When targets leave while others are ejected, the ejected ones with the least evidence come back.
+void ServiceHealth::restoreFloor(util::Time now, std::vector<EjectionDecision>& decisions)
+{
+    while (slotsInUse() < floorSlots()) {
+        State* best = nullptr;
+        for (auto& [name, state] : m_states) {
+            const bool usable = !state.leaving && !state.evidence.lastReport().draining;
+            if (!usable || state.standing.standing() != Standing::Ejected)
+                continue;
+            if (!best || state.evidence.score() < best->evidence.score())
+                best = &state;
+        }
+        if (!best)
+            return;
+        best->standing.reinstate(now);
+        best->evidence.resetScores();
+        decisions.push_back(decision(*best, EjectionEvent::Reinstated, 0));
+    }
+}
+
+std::vector<EjectionDecision> ServiceHealth::evaluate(util::Time now)
+{
+    std::vector<EjectionDecision> decisions;
+    advanceStandings(now, decisions);
+    eject(now, decisions);
+    restoreFloor(now, decisions);
+    return decisions;
+}
+
+std::vector<TargetView> ServiceHealth::views(util::Time now) const
+{
+    std::vector<double> latencies;
+    for (const auto& [name, state] : m_states) {
+        if (state.evidence.samples() >= fewestSamples)
+            latencies.push_back(state.evidence.logLatency());
+    }
+    const double typical = median(latencies);
+    std::vector<TargetView> result;
+    for (const auto& [name, state] : m_states) {
+        TargetView view;
+        view.target = &state.target;
+        view.standing = state.standing.standing();
+        view.leaving = state.leaving || state.evidence.lastReport().draining;
+        view.weight = state.standing.weight(now);
+        const auto& report = state.evidence.lastReport();
+        const int reported = report.slotsInUse + report.queued + state.sentSinceReport;
+        view.load = static_cast<double>(std::max(reported, state.inFlight)) / state.target.slots;
+        if (state.evidence.samples() >= fewestSamples)
+            view.slowdown = std::max(1.0, std::exp2(state.evidence.logLatency() - typical));
+        result.push_back(view);
+    }
+    return result;
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/service_health.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "tarragonhaven/service.h"
+#include "tarragonhaven/target_evidence.h"
+#include "tarragonhaven/target_standing.h"
+
+#include <compare>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tarragonhaven {
+
+// What happened to a target's standing, for the log.
+enum class EjectionEvent {
+    Ejected,
+    // The evidence was enough, but the floor needs the target.
+    KeptByFloor,
+    // Taken back early, since other targets left and the floor needs it.
+    Reinstated,
+    ProbationStarted,
+    RampStarted,
+    Recovered,
+};
+
+std::string_view name(EjectionEvent event);
+
+struct EjectionDecision {
+    TargetName target;
+    EjectionEvent event = EjectionEvent::Ejected;
+    // The evidence above that against the service's other targets.
+    double score = 0;
+    // Slots in use after the decision, and the floor, in slots.
+    int slotsInUse = 0;
+    int floorSlots = 0;
+
+    friend auto operator<=>(const EjectionDecision&, const EjectionDecision&) = default;
+    friend bool operator==(const EjectionDecision&, const EjectionDecision&) = default;
+};
+
+// What the chooser needs to know of a target.
+struct TargetView {
+    const Target* target = nullptr;
+    Standing standing = Standing::Active;
+    bool leaving = false;
+    // The share of its slots that it should be used for.
+    double weight = 1;
+    // Requests at the target per slot: those that its guard reported and those that this node added since.
+    double load = 0;
+    // How many times slower than the service's median its first bytes are; at least 1.
+    double slowdown = 1;
+};
+
+// One node's view of the targets of one service: evidence, standings and the ejections that follow from them.
+//
+// A target is ejected when the evidence against it exceeds the median of the evidence against the others by
+// the threshold of the service's stance, and the slots of the remaining active targets stay at or above the
+// floor. So a service that fails as a whole loses no target, and the worst go first when the floor bounds how
+// many can.
+class ServiceHealth {
+public:
+    explicit ServiceHealth(Service service);
+
+    // Takes over a new declaration of the same service. Targets that stay keep their evidence.
+    void update(const Service& service);
+    void noteReport(const TargetName& target, const TargetReport& report, util::Time now);
+    void notePathFailure(const TargetName& target);
+    void noteWaiting(const TargetName& target, util::Duration age, util::Duration previousAge);
+    // A request of this node was sent to a target, or has come back.
+    void noteSent(const TargetName& target);
+    void noteReturned(const TargetName& target);
+    // Marks the targets of instances that leave or are gone. Others are unmarked.
+    void markLeaving(const std::set<InstanceName>& instances);
+
+    // Moves standings on and decides on ejections.
+    std::vector<EjectionDecision> evaluate(util::Time now);
+
+    [[nodiscard]] std::vector<TargetView> views(util::Time now) const;
+    [[nodiscard]] const Service& service() const { return m_service; }
+    // The slots of targets that are active or ramping and do not leave.
+    [[nodiscard]] int slotsInUse() const;
+    [[nodiscard]] int floorSlots() const;
+    // The excess of a target's evidence over the median of the others'.
+    [[nodiscard]] double excessScore(const TargetName& target) const;
+
+private:
+    struct State {
+        Target target;
+        TargetEvidence evidence;
+        TargetStanding standing;
+        bool leaving = false;
+        int sentSinceReport = 0;
+        int inFlight = 0;
+    };
+    using States = std::map<TargetName, State>;
+
+    static bool countsForFloor(const State& state);
+    [[nodiscard]] PeerBaseline baselineFor(const TargetName& target) const;
+    [[nodiscard]] double threshold(Standing standing) const;
+    [[nodiscard]] EjectionDecision decision(const State& state, EjectionEvent event, double score) const;
+    void advanceStandings(util::Time now, std::vector<EjectionDecision>& decisions);
+    void eject(util::Time now, std::vector<EjectionDecision>& decisions);
+    void restoreFloor(util::Time now, std::vector<EjectionDecision>& decisions);
+    void noteKeptByFloor(
+        const State& state, double score, util::Time now, std::vector<EjectionDecision>& decisions);
+
+    Service m_service;
+    States m_states;
+    std::map<TargetName, util::Time> m_keptLogged;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/slot_queue.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "tarragonhaven/names.h"
+#include "util/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace tarragonhaven {
+
+// Shares the slots of one target between organisations.
+//
+// A request that finds a free slot takes it. Else it waits in the queue of its organisation. A slot that
+// comes free goes to the waiting organisation that holds the fewest slots of this target; among equals, to
+// the one that was served longest ago; within an organisation, to the oldest request. So an organisation that
+// sends many requests, or holds slots for long, delays its own requests before those of others, while a
+// single busy organisation may use every slot.
+//
+// The queue is bounded by the deadlines of its requests and by a count. At the count, the newest request of
+// the organisation with the most waiting requests gives way.
+//
+//   SlotQueue queue({ .slots = 3, .maximumWaiting = 100 });
+//   if (queue.enter({ 7, { "harbour" }, deadline }, now).granted)
+//       run(7);
+//   ...
+//   queue.leave(7);
+//   for (const auto id : queue.grant(now))
+//       run(id);
+struct SlotQueueOptions {
+    int slots = 1;
+    std::size_t maximumWaiting = 1000;
+};
+
+struct SlotTicket {
+    std::uint64_t id = 0;
+    OrganisationName organisation;
+    // The ticket is not granted at or after this time.
+    util::Time deadline {};
+
+    friend auto operator<=>(const SlotTicket&, const SlotTicket&) = default;
+    friend bool operator==(const SlotTicket&, const SlotTicket&) = default;
+};
+
+struct SlotEntry {
+    bool granted = false;
+    // The ticket that gave way to a full queue: this one or another that was waiting.
+    std::optional<std::uint64_t> displaced;
+
+    friend auto operator<=>(const SlotEntry&, const SlotEntry&) = default;
+    friend bool operator==(const SlotEntry&, const SlotEntry&) = default;
+};
+
+class SlotQueue {
+public:
+    explicit SlotQueue(SlotQueueOptions options);
+
+    // Adds a ticket. The id must not be in use.
+    SlotEntry enter(const SlotTicket& ticket, util::Time now);
+    // Frees the slot of a granted ticket, or removes a waiting one. Unknown ids are ignored.
+    void leave(std::uint64_t id);
+    // Grants free slots to waiting tickets and returns their ids in order.
+    std::vector<std::uint64_t> grant(util::Time now);
+    // Removes the waiting tickets whose deadline has come and returns their ids.
+    std::vector<std::uint64_t> expire(util::Time now);
+    // Changes the number of slots. Tickets in excess keep theirs until they leave.
+    void resize(int slots);
+
+    [[nodiscard]] int slots() const { return m_options.slots; }
+    [[nodiscard]] int inUse() const { return static_cast<int>(m_holders.size()); }
+    [[nodiscard]] std::size_t waiting() const { return m_waiting; }
+    [[nodiscard]] int heldBy(const OrganisationName& organisation) const;
+
+private:
+    struct Share {
+        int held = 0;
+        std::uint64_t lastServed = 0;
+        std::deque<SlotTicket> queue;
+    };
+    using Shares = std::map<OrganisationName, Share>;
+
+    void take(const SlotTicket& ticket);
+    std::optional<std::uint64_t> displaceOne();
+    Shares::iterator nextShare(util::Time now);
+    void forgetIfIdle(Shares::iterator share);
+    bool removeWaiting(std::uint64_t id);
+
+    SlotQueueOptions m_options;
+    Shares m_shares;
+    std::map<std::uint64_t, OrganisationName> m_holders;
+    std::size_t m_waiting = 0;
+    std::uint64_t m_served = 0;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/target_chooser.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "tarragonhaven/configuration.h"
+#include "tarragonhaven/service_health.h"
+
+#include <compare>
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace tarragonhaven {
+
+// A target that was weighed, and its cost: expected waiting relative to an idle target of typical speed.
+struct ScoredTarget {
+    TargetName target;
+    double cost = 0;
+
+    friend auto operator<=>(const ScoredTarget&, const ScoredTarget&) = default;
+    friend bool operator==(const ScoredTarget&, const ScoredTarget&) = default;
+};
+
+// The choice for one request, with what it was weighed against.
+struct TargetChoice {
+    // Null when no target may be used.
+    const Target* target = nullptr;
+    std::vector<ScoredTarget> alternatives;
+    std::string_view reason;
+};
+
+struct ChoiceRequest {
+    // Whether the request may test a target on probation.
+    bool idempotent = false;
+    // Targets that this request was refused by.
+    std::set<TargetName> excluded;
+};
+
+// The cost of sending a request to a target.
+double costOf(const TargetView& view);
+
+// Chooses a target by two random draws, weighted by slots and standing, of which the cheaper is taken.
+// Targets of the same data centre come first until all of them are loaded to `spillLoad` requests a slot.
+//
+// `isLocal` tells whether a target is in this node's data centre.
+template <typename Random>
+TargetChoice chooseTarget(const std::vector<TargetView>& views, const ChoiceRequest& request,
+    const std::function<bool(const Target&)>& isLocal, Random& random);
+
+namespace chooser_detail {
+
+    inline constexpr double spillLoad = 0.9;
+    inline constexpr double probationChance = 0.05;
+
+    std::vector<const TargetView*> usable(const std::vector<TargetView>& views, const ChoiceRequest& request);
+    std::vector<const TargetView*> preferred(
+        const std::vector<const TargetView*>& views, const std::function<bool(const Target&)>& isLocal);
+    std::vector<const TargetView*> onProbation(
+        const std::vector<TargetView>& views, const ChoiceRequest& request);
+
+    template <typename Random>
+    const TargetView* draw(const std::vector<const TargetView*>& views, Random& random)
+    {
+        double total = 0;
+        for (const auto* view : views)
+            total += view->weight * view->target->slots;
+        double left = std::uniform_real_distribution<double>(0, total)(random);
+        for (const auto* view : views) {
+            left -= view->weight * view->target->slots;
+            if (left < 0)
+                return view;
+        }
+        return views.back();
+    }
+
+} // namespace chooser_detail
+
+template <typename Random>
+TargetChoice chooseTarget(const std::vector<TargetView>& views, const ChoiceRequest& request,
+    const std::function<bool(const Target&)>& isLocal, Random& random)
+{
+    const auto probation = chooser_detail::onProbation(views, request);
+    const bool tests = !probation.empty()
+        && std::uniform_real_distribution<double>(0, 1)(random) < chooser_detail::probationChance;
+    if (tests) {
+        const auto* view = chooser_detail::draw(probation, random);
+        return { view->target, { { view->target->name, costOf(*view) } }, "probation" };
+    }
+    const auto candidates = chooser_detail::preferred(chooser_detail::usable(views, request), isLocal);
+    if (candidates.empty())
+        return { nullptr, {}, "no usable target" };
+    const auto* first = chooser_detail::draw(candidates, random);
+    const auto* second = chooser_detail::draw(candidates, random);
+    const auto* better = costOf(*second) < costOf(*first) ? second : first;
+    TargetChoice choice;
+    choice.target = better->target;
+    choice.alternatives
+        = { { first->target->name, costOf(*first) }, { second->target->name, costOf(*second) } };
+    choice.reason = first == second ? "only draw" : "cheaper of two draws";
+    return choice;
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/target_connection.cc
@@ -0,0 +1,324 @@
+// One Beast parser and serializer for each request. The deadline of a request bounds the wait for the head of
+// its answer; after that each chunk has an idle timeout of its own, so that a long download is not cut while
+// it moves. Everything that fails after the first byte of a request was handed to the socket counts as "may
+// have run": the kernel may have sent it.
+
+#include "tarragonhaven/target_connection.h"
+
+#include "tarragonhaven/http_fields.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <limits>
+#include <optional>
+#include <vector>
+
+namespace tarragonhaven {
+
+namespace {
+
+    namespace asio = boost::asio;
+    namespace beast = boost::beast;
+    namespace http = beast::http;
+    using boost::system::error_code;
+    using tcp = asio::ip::tcp;
+
+    constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(30);
+    constexpr std::uint32_t headLimitBytes = 64 * 1024;
+    constexpr unsigned httpVersion11 = 11;
+    // Bodies stream through in chunks; their length is not bounded.
+    constexpr std::uint64_t noBodyLimit = std::numeric_limits<std::uint64_t>::max();
+
+    Refusal failure(RefusalReason reason, RunState run, const std::string& detail)
+    {
+        return { reason, run, util::Duration {}, detail };
+    }
+
+} // namespace
+
+class TargetConnection::Rep : public std::enable_shared_from_this<TargetConnection::Rep> {
+public:
+    explicit Rep(asio::io_context& io)
+        : m_stream(io)
+    {
+    }
+
+    void connect(const Endpoint& endpoint, util::Duration timeout, OutcomeHandler<void> handler)
+    {
+        m_host = toString(endpoint);
+        m_stream.expires_after(timeout);
+        const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+        m_stream.async_connect(
+            address, [self = shared_from_this(), handler = std::move(handler)](error_code error) {
+                if (self->m_closed)
+                    return;
+                if (error)
+                    return handler(tl::unexpected(
+                        failure(RefusalReason::TargetUnreachable, RunState::NotRun, error.message())));
+                self->m_stream.socket().set_option(tcp::no_delay(true), error);
+                handler({});
+            });
+    }
+
+    void begin(const RequestHead& head, util::Time deadline)
+    {
+        m_deadline = deadline;
+        m_headWritten = false;
+        m_complete = false;
+        m_requestSent = false;
+        m_chunked = head.hasBody && head.contentLength < 0;
+        m_isHead = head.method == "HEAD";
+        m_request.emplace();
+        m_request->version(httpVersion11);
+        m_request->method_string(head.method);
+        m_request->target(head.target);
+        m_request->set(http::field::host, m_host);
+        for (const auto& field : head.fields)
+            m_request->insert(field.name, field.value);
+        if (m_chunked)
+            m_request->chunked(true);
+        else if (head.hasBody)
+            m_request->content_length(static_cast<std::uint64_t>(head.contentLength));
+        m_request->body().data = nullptr;
+        m_request->body().more = true;
+        m_serializer.emplace(*m_request);
+        m_parser.emplace();
+        m_parser->header_limit(headLimitBytes);
+        m_parser->body_limit(noBodyLimit);
+        if (m_isHead)
+            m_parser->skip(true);
+        m_hasBody = head.hasBody;
+    }
+
+    void writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
+    {
+        m_chunk = std::move(chunk);
+        m_stream.expires_after(m_headWritten ? bodyIdleTimeout : remaining());
+        if (m_headWritten)
+            return writeChunk(std::move(handler));
+        m_headWritten = true;
+        http::async_write_header(m_stream, *m_serializer,
+            [self = shared_from_this(), handler = std::move(handler)](error_code error, std::size_t) {
+                if (self->m_closed)
+                    return;
+                if (error)
+                    return handler(tl::unexpected(
+                        failure(RefusalReason::TargetFailed, RunState::Unknown, error.message())));
+                if (!self->m_hasBody) {
+                    self->m_requestSent = true;
+                    return handler({});
+                }
+                self->writeChunk(handler);
+            });
+    }
+
+    void readHead(OutcomeHandler<ResponseHead> handler)
+    {
+        m_stream.expires_after(remaining());
+        http::async_read_header(m_stream, m_buffer, *m_parser,
+            [self = shared_from_this(), handler = std::move(handler)](error_code error, std::size_t) {
+                if (self->m_closed)
+                    return;
+                self->headRead(error, handler);
+            });
+    }
+
+    void readBody(OutcomeHandler<BodyChunk> handler)
+    {
+        m_stream.expires_after(bodyIdleTimeout);
+        m_storage.resize(bodyChunkBytes);
+        auto& body = m_parser->get().body();
+        body.data = m_storage.data();
+        body.size = m_storage.size();
+        http::async_read_some(m_stream, m_buffer, *m_parser,
+            [self = shared_from_this(), handler = std::move(handler)](error_code error, std::size_t) {
+                if (self->m_closed)
+                    return;
+                self->bodyRead(error, handler);
+            });
+    }
+
+    void close()
+    {
+        m_closed = true;
+        error_code ignored;
+        m_stream.socket().close(ignored);
+    }
+
+    // Bytes beyond the answer, or a request that was not sent whole, would cross into the next exchange.
+    [[nodiscard]] bool reusable() const
+    {
+        const bool clean = m_requestSent && m_buffer.size() == 0;
+        return !m_closed && m_complete && clean && m_parser->get().keep_alive();
+    }
+
+    bool stillOpen()
+    {
+        if (m_closed)
+            return false;
+        auto& socket = m_stream.socket();
+        error_code error;
+        socket.non_blocking(true, error);
+        char byte = 0;
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        return error == asio::error::would_block;
+    }
+
+    [[nodiscard]] util::Time idleSince() const { return m_idleSince; }
+
+private:
+    using Parser = http::response_parser<http::buffer_body>;
+
+    [[nodiscard]] util::Duration remaining() const
+    {
+        return std::max<util::Duration>(m_deadline - util::BootClock::now(), std::chrono::milliseconds(1));
+    }
+
+    void writeChunk(OutcomeHandler<void> handler)
+    {
+        auto& body = m_request->body();
+        body.data = m_chunk.data.empty() ? nullptr : m_chunk.data.data();
+        body.size = m_chunk.data.size();
+        body.more = !m_chunk.last;
+        http::async_write(m_stream, *m_serializer,
+            [self = shared_from_this(), handler = std::move(handler)](error_code error, std::size_t) {
+                if (self->m_closed)
+                    return;
+                if (error == http::error::need_buffer)
+                    error = {};
+                if (error)
+                    return handler(tl::unexpected(
+                        failure(RefusalReason::TargetFailed, RunState::Unknown, error.message())));
+                self->m_requestSent = self->m_chunk.last;
+                handler({});
+            });
+    }
+
+    void headRead(error_code error, const OutcomeHandler<ResponseHead>& handler)
+    {
+        if (error == beast::error::timeout)
+            return handler(tl::unexpected(
+                failure(RefusalReason::TargetTimeout, RunState::Unknown, "no answer in time")));
+        if (error)
+            return handler(
+                tl::unexpected(failure(RefusalReason::TargetFailed, RunState::Unknown, error.message())));
+        const auto& message = m_parser->get();
+        if (message.result_int() < 200)
+            return skipInterim(handler);
+        ResponseHead head = toHead();
+        if (head.hasBody && !m_parser->chunked() && !m_parser->content_length())
+            return handler(tl::unexpected(failure(
+                RefusalReason::TargetBadFraming, RunState::Unknown, "the answer does not say its length")));
+        if (!head.hasBody)
+            finish();
+        handler(std::move(head));
+    }
+
+    // Passes over an interim answer (100 to 199) and waits for the final one.
+    void skipInterim(const OutcomeHandler<ResponseHead>& handler)
+    {
+        m_parser.emplace();
+        m_parser->header_limit(headLimitBytes);
+        m_parser->body_limit(noBodyLimit);
+        m_parser->skip(m_isHead);
+        readHead(handler);
+    }
+
+    ResponseHead toHead()
+    {
+        const auto& message = m_parser->get();
+        ResponseHead head;
+        head.status = static_cast<int>(message.result_int());
+        const auto connection = message[http::field::connection];
+        const std::string_view connectionValue(connection.data(), connection.size());
+        for (const auto& field : message) {
+            const std::string name(field.name_string());
+            if (!isHopByHop(name, connectionValue))
+                head.fields.push_back({ name, std::string(field.value()) });
+        }
+        const auto length = m_parser->content_length();
+        head.contentLength = length ? static_cast<std::int64_t>(*length) : -1;
+        const bool never = m_isHead || head.status == 204 || head.status == 304;
+        head.hasBody = !never && (m_parser->chunked() || !length || *length > 0);
+        return head;
+    }
+
+    void bodyRead(error_code error, const OutcomeHandler<BodyChunk>& handler)
+    {
+        if (error == http::error::need_buffer)
+            error = {};
+        if (error == beast::error::timeout)
+            return handler(tl::unexpected(
+                failure(RefusalReason::TargetTimeout, RunState::Unknown, "the answer stalled")));
+        if (error)
+            return handler(tl::unexpected(failure(
+                RefusalReason::TargetFailed, RunState::Unknown, "the answer was cut: " + error.message())));
+        BodyChunk chunk;
+        chunk.data.assign(m_storage.data(), m_storage.size() - m_parser->get().body().size);
+        chunk.last = m_parser->is_done();
+        if (chunk.last)
+            finish();
+        handler(std::move(chunk));
+    }
+
+    void finish()
+    {
+        m_complete = true;
+        m_storage = {};
+        m_idleSince = util::BootClock::now();
+        m_stream.expires_never();
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::string m_host;
+    std::optional<http::request<http::buffer_body>> m_request;
+    std::optional<http::request_serializer<http::buffer_body>> m_serializer;
+    std::optional<Parser> m_parser;
+    // Allocated while a body is read, so that an idle connection stays small.
+    std::vector<char> m_storage;
+    BodyChunk m_chunk;
+    util::Time m_deadline {};
+    util::Time m_idleSince {};
+    bool m_headWritten = false;
+    bool m_hasBody = false;
+    bool m_chunked = false;
+    bool m_isHead = false;
+    bool m_complete = false;
+    bool m_requestSent = false;
+    bool m_closed = false;
+};
+
+TargetConnection::TargetConnection(asio::io_context& io)
+    : m_rep(std::make_shared<Rep>(io))
+{
+}
+
+TargetConnection::~TargetConnection() { m_rep->close(); }
+
+void TargetConnection::connect(const Endpoint& endpoint, util::Duration timeout, OutcomeHandler<void> handler)
+{
+    m_rep->connect(endpoint, timeout, std::move(handler));
+}
+
+void TargetConnection::begin(const RequestHead& head, util::Time deadline) { m_rep->begin(head, deadline); }
+
+void TargetConnection::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
+{
+    m_rep->writeBody(std::move(chunk), std::move(handler));
+}
+
+void TargetConnection::readHead(OutcomeHandler<ResponseHead> handler) { m_rep->readHead(std::move(handler)); }
+
+void TargetConnection::readBody(OutcomeHandler<BodyChunk> handler) { m_rep->readBody(std::move(handler)); }
+
+void TargetConnection::close() { m_rep->close(); }
+
+bool TargetConnection::reusable() const { return m_rep->reusable(); }
+
+bool TargetConnection::stillOpen() { return m_rep->stillOpen(); }
+
+util::Time TargetConnection::idleSince() const { return m_rep->idleSince(); }
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/target_evidence.cc
@@ -0,0 +1,114 @@
+// Page's cumulative sum test (E. S. Page, "Continuous inspection schemes", Biometrika 41, 1954). For latency
+// the step is the excess of the logarithm over the tolerated slowdown; for failures it is the log likelihood
+// ratio of a failure share that is suspect against one that is normal for the service. Every step costs a few
+// operations.
+
+#include "tarragonhaven/target_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr double averageKeep = 0.9;
+    constexpr double suspectFactor = 4;
+    constexpr double largestShare = 0.9;
+
+    double logMicroseconds(util::Duration duration)
+    {
+        return std::log2(std::max(1.0, std::chrono::duration<double, std::micro>(duration).count()));
+    }
+
+} // namespace
+
+ReportDelta TargetEvidence::deltaOf(const TargetReport& report) const
+{
+    const bool restarted = report.incarnation > m_last.incarnation;
+    if (!restarted && (report.incarnation < m_last.incarnation || report.sequence <= m_last.sequence))
+        return {};
+    const TargetReport base = restarted ? TargetReport {} : m_last;
+    ReportDelta delta;
+    delta.fresh = true;
+    delta.answers = static_cast<int>(report.answers - base.answers);
+    delta.failures = static_cast<int>(report.failures - base.failures);
+    if (delta.answers > 0)
+        delta.meanLogLatency = (report.logLatencySum - base.logLatencySum) / delta.answers;
+    return delta;
+}
+
+ReportDelta TargetEvidence::noteReport(const TargetReport& report, const PeerBaseline& baseline)
+{
+    const bool first = m_last.incarnation == 0;
+    auto delta = deltaOf(report);
+    if (!delta.fresh)
+        return delta;
+    m_last = report;
+    // The counters of a guard that ran before this node saw it say nothing of the present.
+    if (first && delta.answers + delta.failures > 1) {
+        delta.answers = std::min(delta.answers, 1);
+        delta.failures = 0;
+    }
+    average(delta);
+    addLatency(delta.meanLogLatency, delta.answers, baseline);
+    addFailures(delta.failures, delta.answers, baseline);
+    return delta;
+}
+
+void TargetEvidence::average(const ReportDelta& delta)
+{
+    const int count = delta.answers + delta.failures;
+    if (count == 0)
+        return;
+    const double keep = m_samples == 0 ? 0 : std::pow(averageKeep, count);
+    const double keepLatency = m_samples == 0 ? 0 : std::pow(averageKeep, delta.answers);
+    if (delta.answers > 0)
+        m_logLatency = keepLatency * m_logLatency + (1 - keepLatency) * delta.meanLogLatency;
+    m_failureShare = keep * m_failureShare + (1 - keep) * delta.failures / count;
+    m_samples += count;
+}
+
+void TargetEvidence::addLatency(double logLatency, int answers, const PeerBaseline& baseline)
+{
+    if (!baseline.known || answers == 0)
+        return;
+    const double excess = logLatency - baseline.logLatency - m_options.toleratedLogSlowdown;
+    const double step = std::clamp(excess, -m_options.maximumStep, m_options.maximumStep);
+    m_latencyScore = std::clamp(m_latencyScore + step * answers, 0.0, m_options.maximumScore);
+}
+
+void TargetEvidence::addFailures(int failures, int successes, const PeerBaseline& baseline)
+{
+    const double normal
+        = std::max(m_options.normalFailureShare, std::min(baseline.failureShare, largestShare / 2));
+    const double suspect
+        = std::min(largestShare, std::max(m_options.suspectFailureShare, suspectFactor * normal));
+    const double step
+        = failures * std::log(suspect / normal) + successes * std::log((1 - suspect) / (1 - normal));
+    m_failureScore = std::clamp(m_failureScore + step, 0.0, m_options.maximumScore);
+}
+
+void TargetEvidence::noteWaiting(util::Duration age, util::Duration previousAge, const PeerBaseline& baseline)
+{
+    if (!baseline.known)
+        return;
+    const auto excess = [&](util::Duration waited) {
+        const double over = logMicroseconds(waited) - baseline.logLatency - m_options.toleratedLogWait;
+        return std::clamp(over, 0.0, m_options.maximumStep);
+    };
+    const double step = excess(age) - (previousAge > util::Duration {} ? excess(previousAge) : 0);
+    m_latencyScore = std::clamp(m_latencyScore + step, 0.0, m_options.maximumScore);
+}
+
+void TargetEvidence::notePathFailure(const PeerBaseline& baseline) { addFailures(1, 0, baseline); }
+
+void TargetEvidence::resetScores()
+{
+    m_latencyScore = 0;
+    m_failureScore = 0;
+}
+
+double TargetEvidence::score() const { return std::max(m_latencyScore, m_failureScore); }
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/target_report.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <msgpack.hpp>
+
+namespace tarragonhaven {
+
+// What a guard tells entries of its target, with every answer and when its state changes. Counters run since
+// the guard started, so that a lost report loses nothing; `sequence` orders reports of one incarnation.
+struct TargetReport {
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    int slots = 0;
+    int slotsInUse = 0;
+    int queued = 0;
+    bool draining = false;
+    std::uint64_t answers = 0;
+    std::uint64_t failures = 0;
+    // Sum of log2 of the microseconds to the first byte, over answers.
+    double logLatencySum = 0;
+    MSGPACK_DEFINE_ARRAY(
+        incarnation, sequence, slots, slotsInUse, queued, draining, answers, failures, logLatencySum);
+
+    friend bool operator==(const TargetReport&, const TargetReport&) = default;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/target_standing.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "util/time.h"
+
+#include <memory>
+#include <string_view>
+
+namespace tarragonhaven {
+
+// How far one node trusts a target.
+enum class Standing {
+    Active,
+    // Gets no requests until its hold-off has passed.
+    Ejected,
+    // Gets a trickle of idempotent requests, to show whether it has recovered.
+    Probation,
+    // Gets a share of requests that grows to the full share.
+    Ramp,
+};
+
+std::string_view name(Standing standing);
+
+// The standing of one target as a state machine:
+//
+//   Active --condemn--> Ejected --hold-off over--> Probation --proved--> Ramp --ramp over--> Active
+//   Probation --condemn--> Ejected        Ramp --condemn--> Ejected        Ejected --reinstate--> Ramp
+//
+// Each ejection that follows an earlier one within `forgetAfter` doubles the hold-off, up to
+// `longestHoldoff`.
+struct StandingOptions {
+    util::Duration firstHoldoff = std::chrono::seconds(5);
+    util::Duration longestHoldoff = std::chrono::seconds(160);
+    util::Duration forgetAfter = std::chrono::seconds(300);
+    util::Duration ramp = std::chrono::seconds(10);
+    // Answers without a failure that end a probation.
+    int proofAnswers = 3;
+};
+
+class TargetStanding {
+public:
+    explicit TargetStanding(StandingOptions options = {});
+    ~TargetStanding();
+    TargetStanding(TargetStanding&&) noexcept;
+    TargetStanding& operator=(TargetStanding&&) noexcept;
+
+    void condemn(util::Time now);
+    // Ends an ejection early, since the floor needs the target.
+    void reinstate(util::Time now);
+    // Notes good answers; they count in probation only.
+    void noteGood(int answers, util::Time now);
+    // Moves on by time alone.
+    void advance(util::Time now);
+
+    [[nodiscard]] Standing standing() const;
+    // The share of its slots that the target should be used for: 0 while ejected, 1 when active.
+    [[nodiscard]] double weight(util::Time now) const;
+    // The end of the hold-off in force.
+    [[nodiscard]] util::Time holdoffEnds() const;
+    [[nodiscard]] int ejections() const;
+
+private:
+    class Rep;
+    std::unique_ptr<Rep> m_rep;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -0,0 +1,109 @@
+// The node: carries traffic beside the targets of one instance. See node.h.
+
+#include "tarragonhaven/node.h"
+#include "tarragonhaven/node_settings_parse.h"
+#include "util/environment_flags.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <csignal>
+#include <cstdio>
+#include <ctime>
+#include <string>
+#include <vector>
+
+ABSL_FLAG(std::string, fleet, "", "Identity: the fleet's name, as the configuration declares it.");
+ABSL_FLAG(std::string, instance, "", "Identity: this instance's name, as the configuration declares it.");
+ABSL_FLAG(std::string, data_centre, "", "Identity: the data centre that this instance is in.");
+ABSL_FLAG(std::string, caller_address, "", "Addresses: IP number and port where callers connect.");
+ABSL_FLAG(std::string, peer_address, "", "Addresses: IP number and port where other nodes connect.");
+ABSL_FLAG(std::string, operator_address, "", "Addresses: IP number and port of the operator endpoint.");
+ABSL_FLAG(std::string, platform_address, "",
+    "Addresses: IP number and port of the platform's configuration service.");
+ABSL_FLAG(std::vector<std::string>, seed_peers, {},
+    "Addresses: peer addresses, with commas, to learn the configuration from when the platform is away.");
+ABSL_FLAG(std::string, log_level, "info", "Log: debug, info, warning or error.");
+ABSL_FLAG(double, drain_seconds, 20, "Limits: how long a planned stop waits for requests, 0 to 3600 s.");
+ABSL_FLAG(int, maximum_connections, 10000, "Limits: callers' connections at once, 1 to 100000.");
+
+namespace {
+
+constexpr int exitUsage = 2;
+constexpr int exitFailure = 1;
+constexpr const char* environmentPrefix = "TARRAGONHAVEN";
+constexpr const char* usage
+    = "Carries traffic beside the targets of one instance.\n\n"
+      "Each flag may be set by an environment variable instead, as in TARRAGONHAVEN_CALLER_ADDRESS for\n"
+      "--caller_address; the flag wins. SIGTERM begins a planned stop, a second one ends the process at "
+      "once.\n"
+      "Exit codes: 0 after a planned stop, 1 when the sockets cannot be opened, 2 for wrong settings.";
+
+tarragonhaven::RawNodeSettings rawSettings()
+{
+    return { absl::GetFlag(FLAGS_fleet), absl::GetFlag(FLAGS_instance), absl::GetFlag(FLAGS_data_centre),
+        absl::GetFlag(FLAGS_caller_address), absl::GetFlag(FLAGS_peer_address),
+        absl::GetFlag(FLAGS_operator_address), absl::GetFlag(FLAGS_platform_address),
+        absl::GetFlag(FLAGS_seed_peers), absl::GetFlag(FLAGS_log_level), absl::GetFlag(FLAGS_drain_seconds),
+        absl::GetFlag(FLAGS_maximum_connections) };
+}
+
+int reportFaults(const util::Faults& faults)
+{
+    for (const auto& fault : faults)
+        std::fprintf(stderr, "%s: %s\n", fault.path.c_str(), fault.reason.c_str());
+    return exitUsage;
+}
+
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+// Waits until the node has drained. Returns false when a second signal asks to end at once.
+bool waitDrained(const tarragonhaven::Node& node, const sigset_t& signals)
+{
+    constexpr timespec pollInterval { 0, 20'000'000 };
+    while (!node.drained()) {
+        if (sigtimedwait(&signals, nullptr, &pollInterval) > 0)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+int main(int argumentCount, char** arguments)
+{
+    absl::SetProgramUsageMessage(usage);
+    const auto environmentFaults = util::applyEnvironment(environmentPrefix,
+        { "fleet", "instance", "data_centre", "caller_address", "peer_address", "operator_address",
+            "platform_address", "seed_peers", "log_level", "drain_seconds", "maximum_connections" });
+    const auto rest = absl::ParseCommandLine(argumentCount, arguments);
+    if (rest.size() > 1)
+        return reportFaults({ { rest[1], "is not a flag" } });
+    if (!environmentFaults.empty())
+        return reportFaults(environmentFaults);
+    const auto settings = tarragonhaven::parseNodeSettings(rawSettings());
+    if (!settings)
+        return reportFaults(settings.error());
+    const auto signals = blockStopSignals();
+    tarragonhaven::Node node(*settings);
+    const auto fault = node.start();
+    if (!fault.empty()) {
+        std::fprintf(stderr, "%s\n", fault.c_str());
+        return exitFailure;
+    }
+    int signal = 0;
+    sigwait(&signals, &signal);
+    node.beginStop();
+    if (!waitDrained(node, signals))
+        std::_Exit(0);
+    return 0;
+}
--- /dev/null
+++ b/tarragonhaven/testing/fake_target.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/testing/fault_plan.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tarragonhaven::testing {
+
+// What a fake target has seen.
+struct TargetSeen {
+    long requests = 0;
+    int mostAtOnce = 0;
+    long crashes = 0;
+    // How often each idempotency key, and each "Request-Mark" field, was run.
+    std::map<std::string, int> runs;
+    // Every header line of the latest requests, to look for what must not be there.
+    std::vector<std::string> headerLines;
+};
+
+// A target over HTTP/1.1 with a thread of its own. It answers GET /.../bytes/N with N bytes and any other
+// request with a small JSON document that names the target, the path and the length of the request's body. A
+// request counts as run once its head was read. Control, when there is a control address:
+//   PUT /plan with a FaultPlan as JSON;  GET /seen;  GET /health
+class FakeTarget {
+public:
+    FakeTarget(std::string name, const Endpoint& address);
+    ~FakeTarget();
+    FakeTarget(const FakeTarget&) = delete;
+    FakeTarget& operator=(const FakeTarget&) = delete;
+
+    // Opens an HTTP endpoint for control from outside the process.
+    void openControl(const Endpoint& address);
+    void setPlan(const FaultPlan& plan);
+    [[nodiscard]] TargetSeen seen() const;
+
+private:
+    class Rep;
+    std::shared_ptr<Rep> m_rep;
+};
+
+} // namespace tarragonhaven::testing
--- /dev/null
+++ b/tarragonhaven/testing/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tarragonhaven/testing/whole_path_test.cc
@@ -0,0 +1,122 @@
+// Requests from end to end: caller, entry, guard, target and back, over real sockets.
+
+#include "tarragonhaven/testing/http_caller.h"
+#include "tarragonhaven/testing/local_fleet.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+namespace tarragonhaven::testing {
+
+namespace {
+
+    HeaderField keyField(const std::string& organisation)
+    {
+        return { "Authorization", "Bearer " + testKey(organisation) };
+    }
+
+    CallerRequest get(const std::string& target) { return { "GET", target, { keyField("harbour") }, "" }; }
+
+} // namespace
+
+TEST_CASE("a request is answered by targets of this node and of others", "[net]")
+{
+    LocalFleet fleet(FleetShape {});
+    fleet.startAll();
+    HttpCaller caller(fleet.callerAddress("i11"));
+    std::set<std::string> targets;
+    for (int i = 0; i < 200; ++i) {
+        const auto reply = caller.send(get("/status/" + std::to_string(i)));
+        REQUIRE(reply);
+        INFO(reply->body);
+        REQUIRE(reply->status == 200);
+        REQUIRE(reply->whole);
+        const auto body = nlohmann::json::parse(reply->body);
+        CHECK(body["path"] == "/status/" + std::to_string(i));
+        targets.insert(body["target"].get<std::string>());
+    }
+    CHECK(targets.contains("t11"));
+    CHECK(targets.contains("t12"));
+}
+
+TEST_CASE("bodies stream in both directions and keep their length", "[net]")
+{
+    LocalFleet fleet(FleetShape {});
+    fleet.startAll();
+    for (const auto& instance : fleet.instances()) {
+        HttpCaller caller(fleet.callerAddress(instance));
+        const auto download = caller.send(get("/status/bytes/3000000"));
+        REQUIRE(download);
+        CHECK(download->whole);
+        CHECK(download->body.size() == 3000000);
+        const auto chunked = caller.send(get("/status/chunked/bytes/1000000"));
+        REQUIRE(chunked);
+        CHECK(chunked->whole);
+        CHECK(chunked->body.size() == 1000000);
+        const auto upload
+            = caller.send({ "PUT", "/status/up", { keyField("harbour") }, std::string(2000000, 'u') });
+        REQUIRE(upload);
+        CHECK(upload->status == 200);
+        CHECK(nlohmann::json::parse(upload->body)["bodyBytes"] == 2000000);
+        const auto head = caller.send({ "HEAD", "/status/bytes/500", { keyField("harbour") }, "" });
+        REQUIRE(head);
+        CHECK(head->field("Content-Length") == "500");
+        CHECK(head->body.empty());
+    }
+}
+
+TEST_CASE("refusals say why, and that nothing ran", "[net]")
+{
+    LocalFleet fleet(FleetShape { 1, 1 });
+    fleet.startAll();
+    HttpCaller caller(fleet.callerAddress("i11"));
+    struct Case {
+        CallerRequest request;
+        int status;
+        std::string reason;
+    };
+    const std::vector<Case> cases {
+        { { "GET", "/status/1", {}, "" }, 401, "key-missing" },
+        { { "GET", "/status/1", { { "X-Api-Key", "nonsense" } }, "" }, 401, "key-not-accepted" },
+        { { "GET", "/status/1?key=" + testKey("harbour"), {}, "" }, 400, "key-in-query" },
+        { get("/nowhere"), 404, "route-unknown" },
+        { { "DELETE", "/status/1", { keyField("harbour") }, "" }, 405, "method-not-routed" },
+        { { "POST", "/enrollments", { keyField("harbour") }, "{}" }, 428, "identity-missing" },
+    };
+    for (const auto& item : cases) {
+        INFO(item.reason);
+        const auto reply = caller.send(item.request);
+        REQUIRE(reply);
+        CHECK(reply->status == item.status);
+        CHECK(reply->field("Tarragonhaven-Refusal") == item.reason);
+        CHECK(reply->field("Tarragonhaven-Run") == "not-run");
+        CHECK(nlohmann::json::parse(reply->body)["refusal"]["reason"] == item.reason);
+    }
+    CHECK(fleet.target("t11").seen().requests == 0);
+    CHECK(caller.send({ "GET", "/open/1", {}, "" })->status == 200);
+}
+
+TEST_CASE("no target sees a caller's key", "[net]")
+{
+    LocalFleet fleet(FleetShape { 1, 2 });
+    fleet.startAll();
+    HttpCaller caller(fleet.callerAddress("i11"));
+    const auto other = testKey("orchard");
+    for (int i = 0; i < 20; ++i) {
+        auto request = get("/status/1");
+        request.fields.push_back({ "X-Api-Key", testKey("harbour") });
+        request.fields.push_back({ "Cookie", "a=b; key=" + other });
+        request.fields.push_back({ "X-Note", "ok" });
+        REQUIRE(caller.send(request)->status == 200);
+    }
+    for (const auto& name : { "t11", "t12" }) {
+        bool noteSeen = false;
+        for (const auto& line : fleet.target(name).seen().headerLines) {
+            CHECK(line.find("thk_") == std::string::npos);
+            noteSeen = noteSeen || line == "X-Note: ok";
+        }
+        CHECK(noteSeen);
+    }
+}
+
+} // namespace tarragonhaven::testing
--- /dev/null
+++ b/tarragonhaven/traffic_duty.cc
@@ -0,0 +1,185 @@
+#include "tarragonhaven/traffic_duty.h"
+
+#include "tarragonhaven/declaration_write.h"
+#include "tarragonhaven/open_admission.h"
+#include "tarragonhaven/traffic_status.h"
+
+#include <boost/asio/post.hpp>
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr util::Duration tickInterval = std::chrono::milliseconds(10);
+    constexpr unsigned long ticksPerEvaluation = 5;
+    constexpr std::size_t statusRingItems = 16;
+
+} // namespace
+
+TrafficDuty::TrafficDuty(Parts parts)
+    : m_parts(std::move(parts))
+    , m_guard(m_io, m_parts.settings.instance, m_parts.hello.incarnation)
+    , m_peers(m_io, m_parts.hello)
+    , m_admission(std::make_unique<OpenAdmission>())
+    , m_entry({ m_io, m_guard, m_peers, *m_admission, m_parts.log, m_metrics, m_parts.settings.instance,
+          m_parts.settings.dataCentre, m_parts.hello.incarnation })
+    , m_callerListener(m_io, [this](auto socket) { acceptCaller(std::move(socket)); })
+    , m_peerListener(m_io, [this](auto socket) { acceptPeer(std::move(socket)); })
+    , m_tickTimer(m_io)
+    , m_statusRequests(statusRingItems)
+    , m_statusReplies(statusRingItems)
+{
+    m_parts.configurationEvents.onPush([this] {
+        boost::asio::post(m_io, [this] {
+            m_parts.configurationEvents.drain(
+                [this](ConfigurationEvent event) { handleEvent(std::move(event)); });
+        });
+    });
+    m_statusRequests.onPush([this] {
+        boost::asio::post(m_io, [this] {
+            m_statusRequests.drain([this](const StatusRequest& request) { answerStatus(request); });
+        });
+    });
+}
+
+TrafficDuty::~TrafficDuty() { stop(); }
+
+std::string TrafficDuty::open()
+{
+    const auto callerFault = m_callerListener.open(m_parts.settings.callerAddress);
+    if (!callerFault.empty())
+        return "caller address: " + callerFault;
+    const auto peerFault = m_peerListener.open(m_parts.settings.peerAddress);
+    return peerFault.empty() ? peerFault : "peer address: " + peerFault;
+}
+
+void TrafficDuty::start()
+{
+    boost::asio::post(m_io, [this] { everyTick(); });
+    m_thread = std::thread([this] {
+        const auto work = boost::asio::make_work_guard(m_io);
+        m_io.run();
+    });
+}
+
+void TrafficDuty::stop()
+{
+    m_io.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void TrafficDuty::acceptCaller(boost::asio::ip::tcp::socket socket)
+{
+    if (m_callers.size() >= m_parts.settings.maximumConnections)
+        return;
+    auto session = std::make_shared<CallerSession>(
+        m_entry, std::move(socket), [this](const std::shared_ptr<CallerSession>& ended) {
+            m_callers.erase(ended);
+            m_metrics.noteConnection(-1);
+        });
+    m_callers.insert(session);
+    m_metrics.noteConnection(1);
+    session->start();
+}
+
+void TrafficDuty::acceptPeer(boost::asio::ip::tcp::socket socket)
+{
+    auto link = std::make_shared<PeerLink>(std::move(socket), m_parts.hello);
+    auto session = std::make_shared<PeerSession>(*this, std::move(link));
+    m_peerSessions.insert(session);
+    session->start();
+}
+
+ValueFrame TrafficDuty::value(const std::string& name)
+{
+    const auto& configuration = m_entry.configuration();
+    const auto text = configuration ? configuration->text(name) : nullptr;
+    if (!text)
+        return { name, false, 0, "" };
+    return { name, true, configuration->revision(), *text };
+}
+
+void TrafficDuty::peerEnded(const std::string& peer, const std::string& why)
+{
+    m_parts.log.write(
+        LogLevel::Debug, "peer-link", { { "event", "ended" }, { "peer", peer }, { "reason", why } });
+}
+
+void TrafficDuty::handleEvent(ConfigurationEvent event)
+{
+    if (auto* accepted = std::get_if<ConfigurationAccepted>(&event)) {
+        m_guard.apply(*accepted->configuration);
+        m_entry.apply(std::move(accepted->configuration));
+        m_entry.setReady(true);
+        m_parts.state.ready.store(!m_stopping);
+    }
+    if (auto* leaving = std::get_if<LeavingListed>(&event)) {
+        m_listedLeaving = std::move(leaving->instances);
+        markLeaving();
+    }
+}
+
+void TrafficDuty::markLeaving()
+{
+    m_entry.markLeaving(m_listedLeaving);
+    if (m_listedLeaving.contains(m_parts.settings.instance))
+        m_guard.drain();
+}
+
+void TrafficDuty::everyTick()
+{
+    m_guard.tick();
+    if (++m_ticks % ticksPerEvaluation == 0) {
+        m_entry.tick();
+        std::erase_if(m_peerSessions, [](const auto& session) { return session.expired(); });
+    }
+    if (m_stopping)
+        drainTick();
+    m_tickTimer.expires_after(tickInterval);
+    m_tickTimer.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            everyTick();
+    });
+}
+
+void TrafficDuty::beginStop()
+{
+    boost::asio::post(m_io, [this] {
+        m_stopping = true;
+        m_stopDeadline = util::BootClock::now() + m_parts.settings.drainTimeout;
+        m_parts.state.ready.store(false);
+        m_callerListener.close();
+        m_guard.drain();
+        for (const auto& session : m_callers)
+            session->stop(false);
+        for (const auto& weak : m_peerSessions) {
+            if (const auto session = weak.lock())
+                session->stop();
+        }
+    });
+}
+
+void TrafficDuty::drainTick()
+{
+    const auto now = util::BootClock::now();
+    const bool late = now >= m_stopDeadline;
+    const auto callers = m_callers;
+    for (const auto& session : callers) {
+        if (late || !session->busy())
+            session->stop(true);
+    }
+    bool guarding = false;
+    for (const auto& [name, target] : m_guard.targets())
+        guarding = guarding || target->busy();
+    if (late || (m_callers.empty() && !guarding))
+        m_parts.state.drained.store(true);
+}
+
+void TrafficDuty::answerStatus(const StatusRequest& request)
+{
+    m_statusReplies.push(
+        { request.number, trafficStatusJson(m_entry, m_guard, m_metrics), m_metrics.exposition() });
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/util/check.cc
@@ -0,0 +1,14 @@
+#include "util/check.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+namespace util {
+
+void checkFailed(const char* file, int line, const char* condition, const char* meaning)
+{
+    std::fprintf(stderr, "%s:%d: broken invariant: %s (%s)\n", file, line, meaning, condition);
+    std::abort();
+}
+
+} // namespace util
--- /dev/null
+++ b/util/json_reader.cc
@@ -0,0 +1,198 @@
+// Each accessor looks a field up once, notes its name as known and its faults as (path, reason). Unknown
+// fields are those of the object that no accessor asked for. The cost is linear in the size of the document.
+
+#include "util/json_reader.h"
+
+namespace util {
+
+namespace {
+
+    constexpr std::size_t maximumTextLength = 200;
+
+    bool isUsableText(const nlohmann::json& value)
+    {
+        if (!value.is_string())
+            return false;
+        const auto& text = value.get_ref<const std::string&>();
+        return !text.empty() && text.size() <= maximumTextLength;
+    }
+
+} // namespace
+
+JsonReader::JsonReader(const nlohmann::json& object, std::string path, Faults& faults)
+    : m_object(object)
+    , m_path(std::move(path))
+    , m_faults(faults)
+{
+    if (!m_object.is_object())
+        m_faults.push_back({ m_path, "is not an object" });
+}
+
+std::string JsonReader::pathOf(const std::string& name) const
+{
+    return m_path.empty() ? name : m_path + "." + name;
+}
+
+void JsonReader::fault(const std::string& name, const std::string& reason)
+{
+    m_faults.push_back({ pathOf(name), reason });
+}
+
+const nlohmann::json* JsonReader::find(const std::string& name, bool required)
+{
+    m_known.insert(name);
+    if (!m_object.is_object())
+        return nullptr;
+    const auto found = m_object.find(name);
+    if (found != m_object.end())
+        return &*found;
+    if (required)
+        fault(name, "is missing");
+    return nullptr;
+}
+
+std::string JsonReader::text(const std::string& name)
+{
+    const auto* value = find(name, true);
+    if (!value)
+        return {};
+    if (isUsableText(*value))
+        return value->get<std::string>();
+    fault(name, "is not a text of 1 to 200 characters");
+    return {};
+}
+
+std::string JsonReader::textOr(const std::string& name, const std::string& fallback)
+{
+    return find(name, false) ? text(name) : fallback;
+}
+
+std::int64_t JsonReader::number(const std::string& name, std::int64_t low, std::int64_t high)
+{
+    const auto* value = find(name, true);
+    if (!value)
+        return low;
+    if (value->is_number_integer()) {
+        const auto number = value->get<std::int64_t>();
+        if (number >= low && number <= high)
+            return number;
+    }
+    fault(name, "is not a whole number from " + std::to_string(low) + " to " + std::to_string(high));
+    return low;
+}
+
+std::int64_t JsonReader::numberOr(
+    const std::string& name, std::int64_t low, std::int64_t high, std::int64_t fallback)
+{
+    return find(name, false) ? number(name, low, high) : fallback;
+}
+
+double JsonReader::decimal(const std::string& name, double low, double high)
+{
+    const auto* value = find(name, true);
+    if (!value)
+        return low;
+    if (value->is_number()) {
+        const auto number = value->get<double>();
+        if (number >= low && number <= high)
+            return number;
+    }
+    fault(name, "is not a number from " + std::to_string(low) + " to " + std::to_string(high));
+    return low;
+}
+
+bool JsonReader::flagOr(const std::string& name, bool fallback)
+{
+    const auto* value = find(name, false);
+    if (!value)
+        return fallback;
+    if (value->is_boolean())
+        return value->get<bool>();
+    fault(name, "is neither true nor false");
+    return fallback;
+}
+
+void JsonReader::eachObject(
+    const nlohmann::json& array, const std::string& name, const std::function<void(JsonReader&)>& each)
+{
+    if (!array.is_array()) {
+        fault(name, "is not an array");
+        return;
+    }
+    for (std::size_t index = 0; index < array.size(); ++index) {
+        JsonReader reader(array[index], pathOf(name) + "[" + std::to_string(index) + "]", m_faults);
+        each(reader);
+        reader.refuseUnknown();
+    }
+}
+
+void JsonReader::objects(const std::string& name, const std::function<void(JsonReader&)>& each)
+{
+    if (const auto* value = find(name, true))
+        eachObject(*value, name, each);
+}
+
+void JsonReader::objectsIfAny(const std::string& name, const std::function<void(JsonReader&)>& each)
+{
+    if (const auto* value = find(name, false))
+        eachObject(*value, name, each);
+}
+
+std::vector<std::string> JsonReader::texts(const nlohmann::json& array, const std::string& name)
+{
+    std::vector<std::string> result;
+    if (!array.is_array()) {
+        fault(name, "is not an array of texts");
+        return result;
+    }
+    for (const auto& item : array) {
+        if (isUsableText(item))
+            result.push_back(item.get<std::string>());
+        else
+            fault(name, "holds something other than a text of 1 to 200 characters");
+    }
+    return result;
+}
+
+std::vector<std::string> JsonReader::textsOr(const std::string& name)
+{
+    const auto* value = find(name, false);
+    return value ? texts(*value, name) : std::vector<std::string> {};
+}
+
+std::vector<std::vector<std::string>> JsonReader::textListsOr(const std::string& name)
+{
+    std::vector<std::vector<std::string>> result;
+    const auto* value = find(name, false);
+    if (!value)
+        return result;
+    if (!value->is_array()) {
+        fault(name, "is not an array of arrays of texts");
+        return result;
+    }
+    for (const auto& item : *value)
+        result.push_back(texts(item, name));
+    return result;
+}
+
+void JsonReader::refuseUnknown()
+{
+    if (!m_object.is_object())
+        return;
+    for (const auto& [name, value] : m_object.items()) {
+        if (!m_known.contains(name))
+            fault(name, "is not a known field");
+    }
+}
+
+Checked<nlohmann::json> parseJsonObject(const std::string& text)
+{
+    auto document = nlohmann::json::parse(text, nullptr, false);
+    if (document.is_discarded())
+        return tl::unexpected(Faults { { "", "is not valid JSON" } });
+    if (!document.is_object())
+        return tl::unexpected(Faults { { "", "is not a JSON object" } });
+    return document;
+}
+
+} // namespace util
