Generate, check and publish declarations; judge targets by what the others answer meanwhile

A trace showed why: each target is compared with moving averages of the others, which lag behind a change of the whole service, and the counts of answers that fall into the lag differ by target.

Change: the average is shorter, evidence that stands against most targets is taken away from all, and before an ejection the target's answers since the evidence rose are compared with the others' answers of the same time, with the error of that comparison.

A target ten times slower is still out within 6 answers, three times slower within 20, a failing one within 6 (service_health_test).

Also: the slot queue broke ties between organisations by name; now by who came first (slot_queue_test, against a simple oracle).

--- /dev/null
+++ b/tarragonhaven/questionnaire_parse.cc
@@ -0,0 +1,162 @@
+// Reading and writing of answers as JSON. Ranges are those of the declaration that is generated.
+
+#include "tarragonhaven/questionnaire.h"
+#include "util/json_reader.h"
+
+namespace tarragonhaven {
+
+namespace {
+
+    using nlohmann::ordered_json;
+    using util::JsonReader;
+
+    constexpr std::int64_t answersVersion = 1;
+    constexpr std::int64_t mostTargets = 1000;
+    constexpr std::int64_t mostSlots = 10'000;
+    constexpr std::int64_t defaultDeadlineMs = 10'000;
+    constexpr std::int64_t longestDeadlineMs = 3'600'000;
+    constexpr std::int64_t largestPort = 60'000;
+    constexpr std::int64_t latestNotAfter = 32'503'680'000;
+    constexpr std::int64_t mostBurst = 10'000'000;
+    constexpr double lowestRate = 0.001;
+    constexpr double highestRate = 10'000'000;
+
+    RequestAnswer readRequest(JsonReader& reader)
+    {
+        RequestAnswer request;
+        request.name = reader.text("name");
+        request.method = reader.text("method");
+        request.path = reader.text("path");
+        request.idempotent = reader.flagOr("idempotent", false);
+        request.harmfulTwice = reader.flagOr("harmfulTwice", false);
+        request.openToAll = reader.flagOr("openToAll", false);
+        request.deadlineMs = reader.numberOr("deadlineMs", 1, longestDeadlineMs, defaultDeadlineMs);
+        return request;
+    }
+
+    EjectionStance readWeight(JsonReader& reader)
+    {
+        const auto text = reader.textOr("weighsMore", "both");
+        if (text == "detection")
+            return EjectionStance::Fast;
+        if (text == "false-ejections")
+            return EjectionStance::Careful;
+        if (text != "both")
+            reader.fault("weighsMore", "is none of detection, false-ejections, both");
+        return EjectionStance::Balanced;
+    }
+
+    const char* weightText(EjectionStance stance)
+    {
+        switch (stance) {
+        case EjectionStance::Fast:
+            return "detection";
+        case EjectionStance::Careful:
+            return "false-ejections";
+        case EjectionStance::Balanced:
+            break;
+        }
+        return "both";
+    }
+
+    ServiceAnswer readService(JsonReader& reader)
+    {
+        ServiceAnswer service;
+        service.name = reader.text("name");
+        service.targets = static_cast<int>(reader.number("targets", 1, mostTargets));
+        service.slots = static_cast<int>(reader.number("slots", 1, mostSlots));
+        service.floorPercent = static_cast<int>(reader.numberOr("floorPercent", 0, 100, 50));
+        service.stance = readWeight(reader);
+        reader.objects("requests", [&](JsonReader& item) { service.requests.push_back(readRequest(item)); });
+        return service;
+    }
+
+    Organisation readOrganisation(JsonReader& reader)
+    {
+        Organisation organisation;
+        organisation.name = { reader.text("name") };
+        organisation.ratePerSecond = reader.decimal("ratePerSecond", lowestRate, highestRate);
+        organisation.burst = static_cast<int>(reader.number("burst", 1, mostBurst));
+        reader.objectsIfAny("keys", [&](JsonReader& item) {
+            const auto digest = item.text("sha256");
+            organisation.keys.push_back({ digest, item.numberOr("notAfter", 0, latestNotAfter, 0) });
+        });
+        return organisation;
+    }
+
+    void readAddresses(JsonReader& reader, AddressAnswer& addresses)
+    {
+        addresses.pattern = reader.text("addressPattern");
+        addresses.callerPort = static_cast<int>(reader.number("callerPort", 1, largestPort));
+        addresses.peerPort = static_cast<int>(reader.number("peerPort", 1, largestPort));
+        addresses.targetPort = static_cast<int>(reader.number("targetPort", 1, largestPort));
+    }
+
+    ordered_json toJson(const ServiceAnswer& service)
+    {
+        auto requests = ordered_json::array();
+        for (const auto& request : service.requests) {
+            requests.push_back(
+                { { "name", request.name }, { "method", request.method }, { "path", request.path },
+                    { "idempotent", request.idempotent }, { "harmfulTwice", request.harmfulTwice },
+                    { "openToAll", request.openToAll }, { "deadlineMs", request.deadlineMs } });
+        }
+        return { { "name", service.name }, { "targets", service.targets }, { "slots", service.slots },
+            { "floorPercent", service.floorPercent }, { "weighsMore", weightText(service.stance) },
+            { "requests", requests } };
+    }
+
+    ordered_json toJson(const Organisation& organisation)
+    {
+        auto keys = ordered_json::array();
+        for (const auto& key : organisation.keys)
+            keys.push_back({ { "sha256", key.sha256 }, { "notAfter", key.notAfter } });
+        return { { "name", organisation.name.text }, { "ratePerSecond", organisation.ratePerSecond },
+            { "burst", organisation.burst }, { "keys", keys } };
+    }
+
+} // namespace
+
+util::Checked<QuestionnaireAnswers> parseAnswers(const std::string& text)
+{
+    const auto document = util::parseJsonObject(text);
+    if (!document)
+        return tl::unexpected(document.error());
+    util::Faults faults;
+    JsonReader reader(*document, "", faults);
+    QuestionnaireAnswers answers;
+    reader.number("answersVersion", answersVersion, answersVersion);
+    answers.fleet = reader.text("fleet");
+    answers.dataCentres = reader.textsOr("dataCentres");
+    if (answers.dataCentres.empty())
+        reader.fault("dataCentres", "is empty");
+    readAddresses(reader, answers.addresses);
+    reader.objects("services", [&](JsonReader& item) { answers.services.push_back(readService(item)); });
+    reader.objects(
+        "organisations", [&](JsonReader& item) { answers.organisations.push_back(readOrganisation(item)); });
+    reader.refuseUnknown();
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return answers;
+}
+
+std::string writeAnswers(const QuestionnaireAnswers& answers)
+{
+    ordered_json document;
+    document["answersVersion"] = answersVersion;
+    document["fleet"] = answers.fleet;
+    document["dataCentres"] = answers.dataCentres;
+    document["addressPattern"] = answers.addresses.pattern;
+    document["callerPort"] = answers.addresses.callerPort;
+    document["peerPort"] = answers.addresses.peerPort;
+    document["targetPort"] = answers.addresses.targetPort;
+    document["services"] = ordered_json::array();
+    for (const auto& service : answers.services)
+        document["services"].push_back(toJson(service));
+    document["organisations"] = ordered_json::array();
+    for (const auto& organisation : answers.organisations)
+        document["organisations"].push_back(toJson(organisation));
+    return document.dump(2) + "\n";
+}
+
+} // namespace tarragonhaven
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -19,9 +19,40 @@
     // A target on probation or ramping needs less evidence to go again.
     constexpr double returningFactor = 0.6;
     constexpr long fewestSamples = 3;
+    // How much evidence against a target one unit against the others' median explains. When the whole service
+    // changes, evidence rises against all, unevenly, until the averages have followed.
+    constexpr double sharedWeight = 3;
+    constexpr double suspectScore = 3;
+    // How long the others' answers are waited for, in case they get no requests.
+    constexpr util::Duration othersPatience = std::chrono::seconds(2);
     constexpr util::Duration keptLogInterval = std::chrono::seconds(5);
     constexpr int percent = 100;
 
+    // What confirms evidence: slower than the others by this, as a base-2 logarithm, beyond the error of the
+    // comparison, which is that of answers that spread by `answerSpread`; or failing more by this share.
+    constexpr double confirmingSlowdown = 0.7;
+    constexpr double answerSpread = 2;
+    constexpr double confirmingShare = 0.05;
+    // Standard errors by which a difference of failure shares must exceed that.
+    constexpr double shareErrors = 3;
+
+    struct Progress {
+        double answers = 0;
+        double failures = 0;
+        double logLatencySum = 0;
+    };
+
+    // What a target has answered since its counters were noted. A guard that restarted counts from zero.
+    Progress progressSince(
+        const std::map<TargetName, TargetReport>& then, const TargetName& name, const TargetReport& report)
+    {
+        const auto found = then.find(name);
+        const bool same = found != then.end() && found->second.incarnation == report.incarnation;
+        const TargetReport base = same ? found->second : TargetReport {};
+        return { static_cast<double>(report.answers - base.answers),
+            static_cast<double>(report.failures - base.failures), report.logLatencySum - base.logLatencySum };
+    }
+
     double median(std::vector<double>& values)
     {
         if (values.empty())
@@ -93,6 +124,7 @@
     if (!delta.fresh)
         return;
     state.sentSinceReport = 0;
+    state.lastReport = now;
     if (delta.failures == 0 && delta.answers > 0)
         state.standing.noteGood(delta.answers, now);
 }
@@ -166,7 +198,7 @@
         else
             others.push_back(state.evidence.score());
     }
-    return own - median(others);
+    return own - sharedWeight * median(others);
 }
 
 double ServiceHealth::threshold(Standing standing) const
@@ -207,13 +239,80 @@
     decisions.push_back(decision(state, EjectionEvent::KeptByFloor, score));
 }
 
+// What stands against most targets is a change of the service, not of a target.
+void ServiceHealth::removeCommonEvidence()
+{
+    std::vector<double> scores;
+    for (const auto& [name, state] : m_states)
+        scores.push_back(state.evidence.score());
+    const double common = median(scores);
+    if (common <= 0)
+        return;
+    for (auto& [name, state] : m_states)
+        state.evidence.removeCommon(common);
+}
+
+void ServiceHealth::noteSuspicions(util::Time now)
+{
+    for (auto& [name, state] : m_states) {
+        if (state.evidence.score() < suspectScore) {
+            state.suspectSince.reset();
+            state.countersThen.clear();
+        } else if (!state.suspectSince) {
+            state.suspectSince = now;
+            for (const auto& [other, otherState] : m_states)
+                state.countersThen[other] = otherState.evidence.lastReport();
+        }
+    }
+}
+
+// Compares what this target has answered since the evidence against it rose with what the others have
+// answered in the same time. A change of the whole service shows there against all alike, however unevenly it
+// met the averages that the evidence is made from. While the others have not answered, the comparison is
+// waited for, but not long.
+bool ServiceHealth::confirmed(const State& state, util::Time now) const
+{
+    if (!state.suspectSince)
+        return true;
+    std::vector<double> latencies;
+    std::vector<double> shares;
+    double othersAnswers = 0;
+    double othersFailures = 0;
+    for (const auto& [name, other] : m_states) {
+        const auto since = progressSince(state.countersThen, name, other.evidence.lastReport());
+        if (&other == &state || since.answers + since.failures == 0)
+            continue;
+        shares.push_back(since.failures / (since.answers + since.failures));
+        if (since.answers > 0)
+            latencies.push_back(since.logLatencySum / since.answers);
+        othersAnswers += since.answers;
+        othersFailures += since.failures;
+    }
+    const bool waited = now - *state.suspectSince > othersPatience;
+    if (2 * shares.size() + 1 < m_states.size())
+        return waited;
+    const auto own = progressSince(state.countersThen, state.target.name, state.evidence.lastReport());
+    if (own.answers + own.failures == 0)
+        return true;
+    const double ownCount = own.answers + own.failures;
+    const double othersCount = othersAnswers + othersFailures;
+    const double pooled = (own.failures + othersFailures) / (ownCount + othersCount);
+    const double shareError = std::sqrt(pooled * (1 - pooled) * (1 / ownCount + 1 / othersCount));
+    const double share = own.failures / ownCount;
+    const bool fails = share - median(shares) >= confirmingShare + shareErrors * shareError;
+    if (own.answers == 0 || latencies.empty())
+        return fails;
+    const double error = answerSpread * std::sqrt(1 / own.answers + 1 / othersAnswers);
+    return fails || own.logLatencySum / own.answers - median(latencies) >= confirmingSlowdown + error;
+}
+
 void ServiceHealth::eject(util::Time now, std::vector<EjectionDecision>& decisions)
 {
     std::vector<std::pair<double, State*>> candidates;
     for (auto& [name, state] : m_states) {
         const double excess = excessScore(name);
         const auto standing = state.standing.standing();
-        if (standing != Standing::Ejected && excess >= threshold(standing))
+        if (standing != Standing::Ejected && excess >= threshold(standing) && confirmed(state, now))
             candidates.emplace_back(excess, &state);
     }
     std::sort(
@@ -254,6 +353,8 @@
 {
     std::vector<EjectionDecision> decisions;
     advanceStandings(now, decisions);
+    removeCommonEvidence();
+    noteSuspicions(now);
     eject(now, decisions);
     restoreFloor(now, decisions);
     return decisions;
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -54,10 +55,10 @@
 
 // One node's view of the targets of one service: evidence, standings and the ejections that follow from them.
 //
-// A target is ejected when the evidence against it exceeds the median of the evidence against the others by
-// the threshold of the service's stance, and the slots of the remaining active targets stay at or above the
-// floor. So a service that fails as a whole loses no target, and the worst go first when the floor bounds how
-// many can.
+// A target is ejected when the evidence against it exceeds what the others' median explains by the threshold
+// of the service's stance, most of the others have answered since it rose, and the slots of the remaining
+// active targets stay at or above the floor. So a service that fails as a whole loses no target, and the
+// worst go first when the floor bounds how many can.
 class ServiceHealth {
 public:
     explicit ServiceHealth(Service service);
@@ -81,7 +82,7 @@
     // The slots of targets that are active or ramping and do not leave.
     [[nodiscard]] int slotsInUse() const;
     [[nodiscard]] int floorSlots() const;
-    // The excess of a target's evidence over the median of the others'.
+    // The evidence against a target beyond what the median of the others' explains.
     [[nodiscard]] double excessScore(const TargetName& target) const;
 
 private:
@@ -92,6 +93,11 @@
         bool leaving = false;
         int sentSinceReport = 0;
         int inFlight = 0;
+        util::Time lastReport {};
+        // When the evidence rose from next to nothing; nothing while it is low.
+        std::optional<util::Time> suspectSince;
+        // Every target's counters at that moment.
+        std::map<TargetName, TargetReport> countersThen;
     };
     using States = std::map<TargetName, State>;
 
@@ -102,6 +108,9 @@
     void advanceStandings(util::Time now, std::vector<EjectionDecision>& decisions);
     void eject(util::Time now, std::vector<EjectionDecision>& decisions);
     void restoreFloor(util::Time now, std::vector<EjectionDecision>& decisions);
+    void removeCommonEvidence();
+    void noteSuspicions(util::Time now);
+    [[nodiscard]] bool confirmed(const State& state, util::Time now) const;
     void noteKeptByFloor(
         const State& state, double score, util::Time now, std::vector<EjectionDecision>& decisions);
 
--- a/tarragonhaven/slot_queue.cc
+++ b/tarragonhaven/slot_queue.cc
@@ -6,7 +6,6 @@
 #include "util/check.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace tarragonhaven {
 
@@ -85,6 +84,13 @@
     forgetIfIdle(share);
 }
 
+// The fewest slots first, then the longest unserved, then the oldest request: tickets are numbered as they
+// come.
+std::tuple<int, std::uint64_t, std::uint64_t> SlotQueue::rankOf(const Share& share)
+{
+    return { share.held, share.lastServed, share.queue.front().id };
+}
+
 SlotQueue::Shares::iterator SlotQueue::nextShare(util::Time now)
 {
     auto best = m_shares.end();
@@ -93,9 +99,7 @@
         const bool servable = !candidate.queue.empty() && now < candidate.queue.front().deadline;
         if (!servable)
             continue;
-        if (best == m_shares.end()
-            || std::tie(candidate.held, candidate.lastServed)
-                < std::tie(best->second.held, best->second.lastServed))
+        if (best == m_shares.end() || rankOf(candidate) < rankOf(best->second))
             best = share;
     }
     return best;
--- a/tarragonhaven/slot_queue.h
+++ b/tarragonhaven/slot_queue.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace tarragonhaven {
@@ -16,9 +17,9 @@
 //
 // A request that finds a free slot takes it. Else it waits in the queue of its organisation. A slot that
 // comes free goes to the waiting organisation that holds the fewest slots of this target; among equals, to
-// the one that was served longest ago; within an organisation, to the oldest request. So an organisation that
-// sends many requests, or holds slots for long, delays its own requests before those of others, while a
-// single busy organisation may use every slot.
+// the one that was served longest ago, then to the one whose request came first; within an organisation, to
+// the oldest request. So an organisation that sends many requests, or holds slots for long, delays its own
+// requests before those of others, while a single busy organisation may use every slot.
 //
 // The queue is bounded by the deadlines of its requests and by a count. At the count, the newest request of
 // the organisation with the most waiting requests gives way.
@@ -84,6 +85,7 @@
 
     void take(const SlotTicket& ticket);
     std::optional<std::uint64_t> displaceOne();
+    static std::tuple<int, std::uint64_t, std::uint64_t> rankOf(const Share& share);
     Shares::iterator nextShare(util::Time now);
     void forgetIfIdle(Shares::iterator share);
     bool removeWaiting(std::uint64_t id);
--- a/tarragonhaven/target_evidence.cc
+++ b/tarragonhaven/target_evidence.cc
@@ -12,7 +12,8 @@
 
 namespace {
 
-    constexpr double averageKeep = 0.9;
+    // Short, so that a change of the whole service is soon in what each target is compared with.
+    constexpr double averageKeep = 0.75;
     constexpr double suspectFactor = 4;
     constexpr double largestShare = 0.9;
 
@@ -103,6 +104,12 @@
 
 void TargetEvidence::notePathFailure(const PeerBaseline& baseline) { addFailures(1, 0, baseline); }
 
+void TargetEvidence::removeCommon(double common)
+{
+    m_latencyScore = std::max(0.0, m_latencyScore - common);
+    m_failureScore = std::max(0.0, m_failureScore - common);
+}
+
 void TargetEvidence::resetScores()
 {
     m_latencyScore = 0;
--- a/tarragonhaven/target_evidence.h
+++ b/tarragonhaven/target_evidence.h
@@ -56,6 +56,8 @@
     void noteWaiting(util::Duration age, util::Duration previousAge, const PeerBaseline& baseline);
     // Notes a failure that only this node saw, as of the path to the guard.
     void notePathFailure(const PeerBaseline& baseline);
+    // Takes away evidence that stands against the other targets as well.
+    void removeCommon(double common);
     // Forgets the scores but not what is typical of the target.
     void resetScores();
 
--- /dev/null
+++ b/tarragonhaven/testing/caller_load.cc
@@ -0,0 +1,138 @@
+// A caller that sends requests at a steady rate over kept connections and reports how they were answered.
+// Bounded in rate, connections and time.
+
+#include "tarragonhaven/testing/http_caller.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <algorithm>
+#include <atomic>
+#include <boost/histogram.hpp>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+ABSL_FLAG(std::vector<std::string>, nodes, {},
+    "Caller addresses of nodes, with commas; connections are dealt out over them.");
+ABSL_FLAG(std::string, key, "", "The organisation's key; none is sent if empty.");
+ABSL_FLAG(std::string, method, "GET", "The method.");
+ABSL_FLAG(std::string, path, "/", "The path.");
+ABSL_FLAG(double, rate, 100, "Requests a second in all, at most 20000; 0 sends without a pause.");
+ABSL_FLAG(int, connections, 4, "Connections, at most 400.");
+ABSL_FLAG(double, seconds, 5, "How long to send, at most 600.");
+ABSL_FLAG(std::string, name, "load", "The name that the report carries.");
+
+namespace {
+
+using tarragonhaven::testing::CallerRequest;
+using tarragonhaven::testing::HttpCaller;
+using Clock = std::chrono::steady_clock;
+
+constexpr int mostConnections = 400;
+constexpr double longestSeconds = 600;
+
+struct Results {
+    std::mutex mutex;
+    std::vector<double> milliseconds;
+    std::map<std::string, long> outcomes;
+};
+
+std::string outcomeOf(const std::optional<tarragonhaven::testing::CallerReply>& reply)
+{
+    if (!reply)
+        return "connection failed";
+    if (!reply->whole)
+        return "cut answer";
+    const auto reason = reply->field("Tarragonhaven-Refusal");
+    return std::to_string(reply->status) + (reason.empty() ? "" : " " + reason);
+}
+
+// Sends requests on one connection, each at its own time in a fixed schedule, so that a late answer does not
+// make the caller send less.
+void sendAll(const tarragonhaven::Endpoint& node, const CallerRequest& request, Clock::time_point start,
+    double interval, Clock::time_point end, Results& results)
+{
+    HttpCaller caller(node);
+    std::vector<double> latencies;
+    std::map<std::string, long> outcomes;
+    for (auto due = start; due < end;) {
+        std::this_thread::sleep_until(due);
+        const auto sent = Clock::now();
+        const auto reply = caller.send(request);
+        const std::chrono::duration<double, std::milli> took = Clock::now() - (interval > 0 ? due : sent);
+        ++outcomes[outcomeOf(reply)];
+        if (reply && reply->status < 300)
+            latencies.push_back(took.count());
+        due = interval > 0
+            ? due + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(interval))
+            : Clock::now();
+    }
+    const std::lock_guard lock(results.mutex);
+    results.milliseconds.insert(results.milliseconds.end(), latencies.begin(), latencies.end());
+    for (const auto& [outcome, count] : outcomes)
+        results.outcomes[outcome] += count;
+}
+
+double quantile(const std::vector<double>& sorted, double share)
+{
+    if (sorted.empty())
+        return 0;
+    return sorted[std::min(
+        sorted.size() - 1, static_cast<std::size_t>(share * static_cast<double>(sorted.size())))];
+}
+
+void report(Results& results, double seconds)
+{
+    auto& values = results.milliseconds;
+    std::sort(values.begin(), values.end());
+    std::printf("%s: %zu good answers, %.0f/s, p50 %.3f ms, p90 %.3f ms, p99 %.3f ms, worst %.3f ms\n",
+        absl::GetFlag(FLAGS_name).c_str(), values.size(), static_cast<double>(values.size()) / seconds,
+        quantile(values, 0.5), quantile(values, 0.9), quantile(values, 0.99),
+        values.empty() ? 0 : values.back());
+    for (const auto& [outcome, count] : results.outcomes)
+        std::printf("%s:   %8ld  %s\n", absl::GetFlag(FLAGS_name).c_str(), count, outcome.c_str());
+}
+
+} // namespace
+
+int main(int argumentCount, char** arguments)
+{
+    absl::SetProgramUsageMessage("Sends requests at a steady rate and reports how they were answered.");
+    absl::ParseCommandLine(argumentCount, arguments);
+    std::vector<tarragonhaven::Endpoint> nodes;
+    for (const auto& text : absl::GetFlag(FLAGS_nodes)) {
+        if (const auto endpoint = tarragonhaven::parseEndpoint(text))
+            nodes.push_back(*endpoint);
+    }
+    const int connections = std::clamp(absl::GetFlag(FLAGS_connections), 1, mostConnections);
+    const double seconds = std::clamp(absl::GetFlag(FLAGS_seconds), 0.1, longestSeconds);
+    const double rate = std::clamp(absl::GetFlag(FLAGS_rate), 0.0, 20000.0);
+    if (nodes.empty()) {
+        std::fputs("nodes: no address was given\n", stderr);
+        return 2;
+    }
+    CallerRequest request { absl::GetFlag(FLAGS_method), absl::GetFlag(FLAGS_path), {}, "" };
+    if (!absl::GetFlag(FLAGS_key).empty())
+        request.fields.push_back({ "X-Api-Key", absl::GetFlag(FLAGS_key) });
+    Results results;
+    const auto start = Clock::now();
+    const auto end
+        = start + std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+    const double interval = rate > 0 ? connections / rate : 0;
+    std::vector<std::thread> threads;
+    for (int i = 0; i < connections; ++i) {
+        const auto offset = std::chrono::duration<double>(interval * i / connections);
+        threads.emplace_back([&, i, offset] {
+            sendAll(nodes[static_cast<std::size_t>(i) % nodes.size()], request,
+                start + std::chrono::duration_cast<Clock::duration>(offset), interval, end, results);
+        });
+    }
+    for (auto& thread : threads)
+        thread.join();
+    report(results, seconds);
+    return 0;
+}
--- /dev/null
+++ b/tarragonhaven/testing/service_health_test.cc
@@ -0,0 +1,243 @@
+// Evidence, standings, the floor and the choice of a target, without sockets.
+
+#include "tarragonhaven/service_health.h"
+#include "tarragonhaven/target_chooser.h"
+
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <random>
+
+namespace tarragonhaven::testing {
+
+namespace {
+
+    // A service whose targets answer as the test says; reports are cumulative, as a guard's are.
+    class Feed {
+    public:
+        Feed(std::vector<int> slots, int floorPercent, EjectionStance stance = EjectionStance::Balanced)
+            : health(makeService(slots, floorPercent, stance))
+            , m_reports(slots.size())
+        {
+        }
+
+        static Service makeService(const std::vector<int>& slots, int floorPercent, EjectionStance stance)
+        {
+            Service service { { "s" }, floorPercent, stance, {} };
+            for (std::size_t i = 0; i < slots.size(); ++i)
+                service.targets.push_back({ nameOf(i), { "i" + std::to_string(i) }, {}, slots[i] });
+            return service;
+        }
+
+        static TargetName nameOf(std::size_t index) { return { "t" + std::to_string(index) }; }
+
+        void answer(std::size_t target, double milliseconds, bool failed = false)
+        {
+            auto& report = m_reports[target];
+            report.incarnation = 1;
+            ++report.sequence;
+            if (failed) {
+                ++report.failures;
+            } else {
+                ++report.answers;
+                report.logLatencySum += std::log2(milliseconds * 1000);
+            }
+            health.noteReport(nameOf(target), report, clock.now());
+        }
+
+        std::vector<EjectionDecision> evaluate()
+        {
+            clock.advance(std::chrono::milliseconds(50));
+            return health.evaluate(clock.now());
+        }
+
+        [[nodiscard]] Standing standing(std::size_t target) const
+        {
+            for (const auto& view : health.views(clock.now())) {
+                if (view.target->name == nameOf(target))
+                    return view.standing;
+            }
+            return Standing::Active;
+        }
+
+        util::ManualClock clock;
+        ServiceHealth health;
+
+    private:
+        std::vector<TargetReport> m_reports;
+    };
+
+    double lognormal(std::mt19937_64& random, double median, double sigma)
+    {
+        return median * std::exp(std::normal_distribution<double>(0, sigma)(random));
+    }
+
+} // namespace
+
+TEST_CASE("a target ten times slower, or failing, is ejected after a handful of answers")
+{
+    struct Case {
+        double slowdown;
+        bool fails;
+        int mostAnswers;
+    };
+    for (const auto& item : { Case { 10, false, 6 }, Case { 3, false, 20 }, Case { 1, true, 6 } }) {
+        INFO("slowdown " << item.slowdown << ", fails " << item.fails);
+        std::mt19937_64 random(5);
+        Feed feed({ 5, 5, 5, 5, 5 }, 50);
+        for (int i = 0; i < 100; ++i)
+            feed.answer(static_cast<std::size_t>(i % 5), lognormal(random, 20, 0.3));
+        int answers = 0;
+        while (feed.standing(2) == Standing::Active && answers < 200) {
+            ++answers;
+            for (std::size_t target = 0; target < 5; ++target) {
+                const bool sick = target == 2;
+                feed.answer(
+                    target, lognormal(random, 20, 0.3) * (sick ? item.slowdown : 1), sick && item.fails);
+            }
+            feed.evaluate();
+        }
+        CHECK(answers <= item.mostAnswers);
+    }
+}
+
+TEST_CASE("noise and a service that is slow or failing as a whole eject nobody")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        Feed feed({ 3, 3, 3, 3 }, 50);
+        std::uniform_real_distribution<double> share(0, 1);
+        for (int i = 0; i < 4000; ++i) {
+            const double slowdown = i > 2000 ? 20 : 1;
+            const double failures = i > 3000 ? 0.4 : 0.005;
+            const auto target = random() % 4;
+            feed.answer(target, lognormal(random, 20, 0.6) * slowdown, share(random) < failures);
+            if (i % 3 == 0)
+                feed.evaluate();
+            for (std::size_t t = 0; t < 4; ++t)
+                REQUIRE(feed.standing(t) == Standing::Active);
+        }
+    }
+}
+
+TEST_CASE("ejection never takes the slots in use below the floor, whatever the evidence")
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        std::vector<int> slots;
+        for (std::size_t i = 0; i < 3 + seed % 8; ++i)
+            slots.push_back(1 + static_cast<int>(random() % 9));
+        const int floorPercent = static_cast<int>(random() % 101);
+        Feed feed(slots, floorPercent);
+        std::uniform_real_distribution<double> share(0, 1);
+        long ejections = 0;
+        for (int i = 0; i < 3000; ++i) {
+            const auto target = random() % slots.size();
+            // Targets flap between health and failure with phases of their own.
+            const bool sick = (i / 300 + static_cast<int>(target)) % 3 == 0;
+            feed.answer(target, lognormal(random, 20, 0.4) * (sick ? 8 : 1), sick && share(random) < 0.5);
+            if (random() % 400 == 0)
+                feed.health.markLeaving({ { "i" + std::to_string(random() % slots.size()) } });
+            const int before = feed.health.slotsInUse();
+            const auto decisions = feed.evaluate();
+            for (const auto& decision : decisions)
+                ejections += decision.event == EjectionEvent::Ejected ? 1 : 0;
+            // Below the floor only if leaving targets took it there, and then nothing more is ejected.
+            const int after = feed.health.slotsInUse();
+            REQUIRE((after >= feed.health.floorSlots() || after >= before));
+        }
+        if (floorPercent < 40)
+            CHECK(ejections > 0);
+    }
+}
+
+TEST_CASE("an ejected target comes back by probation and ramp, and a flapping one waits longer each time")
+{
+    Feed feed({ 5, 5, 5, 5 }, 50);
+    for (int i = 0; i < 40; ++i)
+        feed.answer(static_cast<std::size_t>(i % 4), 20);
+    std::vector<double> holdoffs;
+    for (int round = 0; round < 3; ++round) {
+        while (feed.standing(0) != Standing::Ejected) {
+            for (std::size_t t = 0; t < 4; ++t)
+                feed.answer(t, 20, t == 0);
+            feed.evaluate();
+        }
+        const auto start = feed.clock.now();
+        while (feed.standing(0) == Standing::Ejected)
+            feed.evaluate();
+        holdoffs.push_back(util::toSeconds(feed.clock.now() - start));
+        CHECK(feed.standing(0) == Standing::Probation);
+        for (int i = 0; i < 3; ++i)
+            feed.answer(0, 20);
+        CHECK(feed.standing(0) == Standing::Ramp);
+    }
+    CHECK(holdoffs[1] > 1.8 * holdoffs[0]);
+    CHECK(holdoffs[2] > 1.8 * holdoffs[1]);
+    for (int i = 0; i < 300; ++i)
+        feed.evaluate();
+    CHECK(feed.standing(0) == Standing::Active);
+}
+
+TEST_CASE("requests that still wait condemn a hanging target")
+{
+    Feed feed({ 5, 5, 5, 5 }, 50);
+    for (int i = 0; i < 40; ++i)
+        feed.answer(static_cast<std::size_t>(i % 4), 20);
+    // Five requests a second to each target; this one answers none.
+    std::vector<util::Time> sent;
+    int steps = 0;
+    std::map<std::size_t, util::Duration> noted;
+    while (feed.standing(1) == Standing::Active && steps < 100) {
+        if (steps++ % 4 == 0) {
+            sent.push_back(feed.clock.now());
+            for (const std::size_t other : { 0, 2, 3 })
+                feed.answer(other, 20);
+        }
+        for (std::size_t i = 0; i < sent.size(); ++i) {
+            const auto age = feed.clock.now() - sent[i];
+            feed.health.noteWaiting(Feed::nameOf(1), age, noted[i]);
+            noted[i] = age;
+        }
+        feed.evaluate();
+    }
+    // A step is 50 ms.
+    CHECK(steps <= 24);
+}
+
+TEST_CASE("a choice prefers the cheaper of two, the own data centre, and tests by idempotent requests only")
+{
+    Feed feed({ 5, 5, 5, 5 }, 0);
+    for (int i = 0; i < 40; ++i)
+        feed.answer(static_cast<std::size_t>(i % 4), 20);
+    std::mt19937_64 random(3);
+    const auto local
+        = [](const Target& target) { return target.instance.text == "i0" || target.instance.text == "i1"; };
+    std::map<std::string, int> chosen;
+    for (int i = 0; i < 1000; ++i)
+        ++chosen[chooseTarget(feed.health.views(feed.clock.now()), { true, {} }, local, random)
+                     .target->name.text];
+    CHECK(chosen["t0"] > 300);
+    CHECK(chosen["t1"] > 300);
+    CHECK(chosen["t2"] + chosen["t3"] == 0);
+    while (feed.standing(0) != Standing::Ejected) {
+        feed.answer(0, 20, true);
+        feed.answer(1, 20);
+        feed.evaluate();
+    }
+    while (feed.standing(0) != Standing::Probation)
+        feed.evaluate();
+    int probes = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const auto views = feed.health.views(feed.clock.now());
+        CHECK(chooseTarget(views, { false, {} }, local, random).target->name.text != "t0");
+        probes += chooseTarget(views, { true, {} }, local, random).target->name.text == "t0" ? 1 : 0;
+    }
+    CHECK(probes > 10);
+    CHECK(probes < 120);
+    const std::set<TargetName> all { Feed::nameOf(0), Feed::nameOf(1), Feed::nameOf(2), Feed::nameOf(3) };
+    CHECK(chooseTarget(feed.health.views(feed.clock.now()), { true, all }, local, random).target == nullptr);
+}
+
+} // namespace tarragonhaven::testing
--- /dev/null
+++ b/tarragonhaven/testing/slot_queue_test.cc
@@ -0,0 +1,147 @@
+// The sharing of a target's slots, against a slow and simple oracle, and in tables of cases.
+
+#include "tarragonhaven/slot_queue.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+namespace tarragonhaven::testing {
+
+namespace {
+
+    // The same policy, written as a scan over all tickets.
+    class SlowQueue {
+    public:
+        explicit SlowQueue(int slots)
+            : m_slots(slots)
+        {
+        }
+
+        void enter(const SlotTicket& ticket) { m_waiting.push_back(ticket); }
+        void leave(std::uint64_t id)
+        {
+            std::erase_if(m_held, [id](const SlotTicket& ticket) { return ticket.id == id; });
+            std::erase_if(m_waiting, [id](const SlotTicket& ticket) { return ticket.id == id; });
+        }
+        std::vector<std::uint64_t> grant(util::Time now)
+        {
+            std::vector<std::uint64_t> granted;
+            while (static_cast<int>(m_held.size()) < m_slots) {
+                auto best = m_waiting.end();
+                for (auto item = m_waiting.begin(); item != m_waiting.end(); ++item) {
+                    if (!isFirst(item) || now >= item->deadline)
+                        continue;
+                    if (best == m_waiting.end() || rank(*item) < rank(*best))
+                        best = item;
+                }
+                if (best == m_waiting.end())
+                    break;
+                granted.push_back(best->id);
+                m_lastServed[best->organisation] = ++m_served;
+                m_held.push_back(*best);
+                m_waiting.erase(best);
+            }
+            forgetIdle();
+            return granted;
+        }
+
+    private:
+        using Item = std::vector<SlotTicket>::iterator;
+
+        bool isFirst(Item item)
+        {
+            return std::none_of(m_waiting.begin(), item,
+                [&](const SlotTicket& other) { return other.organisation == item->organisation; });
+        }
+        std::pair<long, std::uint64_t> rank(const SlotTicket& ticket)
+        {
+            const auto held = std::count_if(m_held.begin(), m_held.end(),
+                [&](const SlotTicket& other) { return other.organisation == ticket.organisation; });
+            return { held, m_lastServed[ticket.organisation] };
+        }
+        // An organisation with nothing here is as one that never was.
+        void forgetIdle()
+        {
+            std::erase_if(m_lastServed, [&](const auto& item) {
+                const auto same = [&](const SlotTicket& ticket) { return ticket.organisation == item.first; };
+                return std::none_of(m_held.begin(), m_held.end(), same)
+                    && std::none_of(m_waiting.begin(), m_waiting.end(), same);
+            });
+        }
+
+        int m_slots;
+        std::uint64_t m_served = 0;
+        std::vector<SlotTicket> m_held;
+        std::vector<SlotTicket> m_waiting;
+        std::map<OrganisationName, std::uint64_t> m_lastServed;
+    };
+
+} // namespace
+
+TEST_CASE("the queue grants as the simple oracle does")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        INFO("seed " << seed);
+        std::mt19937_64 random(seed);
+        const int slots = 1 + static_cast<int>(random() % 5);
+        SlotQueue queue({ slots, 10000 });
+        SlowQueue slow(slots);
+        util::ManualClock clock;
+        std::vector<std::uint64_t> live;
+        for (std::uint64_t id = 1; id <= 400; ++id) {
+            clock.advance(std::chrono::milliseconds(1));
+            const SlotTicket ticket { id, { std::string(1, static_cast<char>('a' + random() % 4)) },
+                clock.now() + std::chrono::hours(1) };
+            const bool granted = queue.enter(ticket, clock.now()).granted;
+            slow.enter(ticket);
+            const auto expected = slow.grant(clock.now());
+            REQUIRE(
+                expected == (granted ? std::vector<std::uint64_t> { id } : std::vector<std::uint64_t> {}));
+            live.push_back(id);
+            while (!live.empty() && random() % 2 == 0) {
+                const auto at = random() % live.size();
+                queue.leave(live[at]);
+                slow.leave(live[at]);
+                live.erase(live.begin() + static_cast<std::ptrdiff_t>(at));
+                REQUIRE(queue.grant(clock.now()) == slow.grant(clock.now()));
+            }
+            REQUIRE(queue.inUse() <= slots);
+        }
+    }
+}
+
+TEST_CASE("a busy organisation waits behind its own requests, not in front of others")
+{
+    util::ManualClock clock;
+    SlotQueue queue({ 3, 100 });
+    const auto late = clock.now() + std::chrono::hours(1);
+    for (std::uint64_t id = 1; id <= 50; ++id)
+        queue.enter({ id, { "busy" }, late }, clock.now());
+    CHECK(queue.heldBy({ "busy" }) == 3);
+    queue.enter({ 100, { "calm" }, late }, clock.now());
+    queue.leave(1);
+    CHECK(queue.grant(clock.now()) == std::vector<std::uint64_t> { 100 });
+}
+
+TEST_CASE("deadlines and a full queue bound what waits")
+{
+    util::ManualClock clock;
+    SlotQueue queue({ 1, 3 });
+    const auto soon = clock.now() + std::chrono::milliseconds(10);
+    CHECK(queue.enter({ 1, { "a" }, soon }, clock.now()).granted);
+    CHECK(!queue.enter({ 2, { "a" }, soon }, clock.now()).granted);
+    CHECK(!queue.enter({ 3, { "a" }, soon }, clock.now()).displaced);
+    CHECK(!queue.enter({ 4, { "b" }, soon }, clock.now()).displaced);
+    // The fourth to wait displaces the newest of the organisation with the most.
+    CHECK(queue.enter({ 5, { "b" }, soon }, clock.now()).displaced == 3);
+    clock.advance(std::chrono::milliseconds(10));
+    CHECK(queue.expire(clock.now()) == std::vector<std::uint64_t> { 2, 4, 5 });
+    CHECK(queue.waiting() == 0);
+    queue.leave(1);
+    CHECK(queue.inUse() == 0);
+    CHECK(!queue.enter({ 6, { "a" }, soon }, clock.now()).granted);
+}
+
+} // namespace tarragonhaven::testing
