Never say "not run" of a request that an earlier try may have run; start without the platform

Cause 1: an idempotent request that was tried at two targets, both of which cut their answer, was refused with no-target and "not-run", since the last refusal alone was told. The entry now keeps the failure that may have run and asserts that "not run" is never told after one.

Cause 2: a node that started while the platform was away never got a configuration: it looked peers' addresses up in the configuration that it did not have. It now takes the address that the datagram came from.

Ruled out for 1: telling no-target with "unknown", which hides why the tries failed.

--- a/tarragonhaven/control_core.h
+++ b/tarragonhaven/control_core.h
@@ -129,7 +129,7 @@
     void avoid(const InstanceName& instance, int shard, util::Duration time);
     void expireAsks(util::Time now);
     void applyEnd(const IdentityEndMessage& message);
-    void learnRevision(const InstanceName& peer, Revision revision);
+    void learnRevision(const Endpoint& source, const InstanceName& peer, Revision revision);
     void pingRound(util::Time now);
     void ping(const InstanceName& peer, util::Time now);
     void resendIdentities(util::Time now);
--- a/tarragonhaven/control_core_impl.h
+++ b/tarragonhaven/control_core_impl.h
@@ -73,7 +73,7 @@
 {
     m_peers.noteState(from.from, ping.revision, ping.leaving);
     m_tracker.noteLeaving(from.from, ping.leaving, m_clock.now());
-    learnRevision(from.from, ping.revision);
+    learnRevision(source, from.from, ping.revision);
     auto pong = m_tracker.answer(from.from, from.incarnation, ping, m_clock.now());
     if (!pong)
         return;
@@ -84,22 +84,23 @@
 
 template <util::Clock ClockType, typename Random>
 void ControlCore<ClockType, Random>::handle(
-    const Endpoint&, const ControlEnvelope& from, const PongMessage& pong)
+    const Endpoint& source, const ControlEnvelope& from, const PongMessage& pong)
 {
     m_peers.noteState(from.from, pong.revision, pong.leaving);
-    learnRevision(from.from, pong.revision);
+    learnRevision(source, from.from, pong.revision);
     m_tracker.notePong(from.from, pong, m_clock.now());
 }
 
 template <util::Clock ClockType, typename Random>
-void ControlCore<ClockType, Random>::learnRevision(const InstanceName& peer, Revision peerRevision)
+void ControlCore<ClockType, Random>::learnRevision(
+    const Endpoint& source, const InstanceName& peer, Revision peerRevision)
 {
     if (peerRevision <= revision())
         return;
     if (!m_newerKnownSince)
         m_newerKnownSince = m_clock.now();
-    if (const auto* address = addressOf(peer))
-        m_peerRevisions.push_back({ *address, peer, peerRevision });
+    // A node without a configuration knows its peers by where their datagrams come from alone.
+    m_peerRevisions.push_back({ source, peer, peerRevision });
 }
 
 template <util::Clock ClockType, typename Random>
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -3,6 +3,8 @@
 
 #include "tarragonhaven/entry_exchange.h"
 
+#include "util/check.h"
+
 #include <utility>
 
 namespace tarragonhaven {
@@ -56,9 +58,9 @@
     const auto choice = m_entry.choose(m_request.context.service, { m_request.context.idempotent, m_tried });
     logChoice(choice);
     if (!choice.target || !makeAttempt(*choice.target)) {
-        settle(IdentityOutcome::NotRun, 0);
-        return handler(tl::unexpected(Refusal { RefusalReason::NoTarget, RunState::NotRun, noTargetRetryAfter,
-            std::string(choice.target ? "its instance is not declared" : choice.reason) }));
+        return handler(
+            tl::unexpected(finalRefusal({ RefusalReason::NoTarget, RunState::NotRun, noTargetRetryAfter,
+                std::string(choice.target ? "its instance is not declared" : choice.reason) })));
     }
     m_waiting = m_entry.beginWaiting(m_request.context.service, m_target);
     onAttempt([&](auto& attempt) {
@@ -148,8 +150,17 @@
     }
     if (mayTryAgain(refusal.run))
         return tryTarget(handler);
+    handler(tl::unexpected(finalRefusal(refusal)));
+}
+
+Refusal EntryExchange::finalRefusal(Refusal refusal)
+{
+    if (refusal.run == RunState::NotRun && m_unknown)
+        refusal = *m_unknown;
+    TARRAGONHAVEN_CHECK(
+        refusal.run != RunState::NotRun || !m_unknown, "\"not run\" is said of no try that may have run");
     settle(outcomeOf(refusal.run), 0);
-    handler(tl::unexpected(refusal));
+    return refusal;
 }
 
 void EntryExchange::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
@@ -171,15 +182,18 @@
     attemptEnded();
     const bool shed = head && head->status == unavailableStatus && m_request.context.idempotent;
     const auto run = head ? RunState::Unknown : head.error().run;
+    if (!head && run != RunState::NotRun)
+        m_unknown = head.error();
+    if (shed)
+        m_unknown = Refusal { RefusalReason::TargetFailed, RunState::Unknown, noTargetRetryAfter,
+            "shed by the target" };
     if ((!head || shed) && mayTryAgain(run))
         return tryAgain(handler);
-    if (head) {
-        settle(IdentityOutcome::Completed, head->status);
-        m_entry.parts().metrics.noteAnswer(
-            m_request.context.service, m_request.context.organisation, util::BootClock::now() - m_started);
-    } else {
-        settle(outcomeOf(run), 0);
-    }
+    if (!head)
+        return handler(tl::unexpected(finalRefusal(head.error())));
+    settle(IdentityOutcome::Completed, head->status);
+    m_entry.parts().metrics.noteAnswer(
+        m_request.context.service, m_request.context.organisation, util::BootClock::now() - m_started);
     handler(std::move(head));
 }
 
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/peer_exchange.h"
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <variant>
 
@@ -39,6 +40,8 @@
     void headRead(Outcome<ResponseHead> head, const OutcomeHandler<ResponseHead>& handler);
     void tryAgain(const OutcomeHandler<ResponseHead>& handler);
     [[nodiscard]] bool mayTryAgain(RunState run);
+    // The refusal that the caller is told: never "not run" when an earlier try may have run.
+    Refusal finalRefusal(Refusal refusal);
     void attemptEnded();
     void noteReport(const TargetName& target, const TargetReport& report);
     void settle(IdentityOutcome outcome, int status);
@@ -54,6 +57,8 @@
     bool m_admitted = false;
     bool m_settled = false;
     bool m_sent = false;
+    // The failure of a try that may have run, if there was one.
+    std::optional<Refusal> m_unknown;
     bool m_cancelled = false;
     util::Time m_started;
 };
--- /dev/null
+++ b/tarragonhaven/testing/operations_test.cc
@@ -0,0 +1,293 @@
+// What operators and hostile callers do: planned stops under load, changes of configuration, withdrawn keys,
+// outages of the platform, and bytes that are no proper requests. Over real sockets.
+
+#include "tarragonhaven/declaration_write.h"
+#include "tarragonhaven/peer_frame.h"
+#include "tarragonhaven/testing/http_caller.h"
+#include "tarragonhaven/testing/local_fleet.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace tarragonhaven::testing {
+
+namespace {
+
+    CallerRequest keyed(const std::string& target, const std::string& organisation = "harbour")
+    {
+        return { "GET", target, { { "X-Api-Key", testKey(organisation) } }, "" };
+    }
+
+    Revision revisionOf(LocalFleet& fleet, const std::string& instance)
+    {
+        HttpCaller caller(fleet.operatorAddress(instance));
+        const auto reply = caller.send({ "GET", "/status", {}, "" });
+        const auto state = reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
+        return state.is_object() ? state.value("revision", Revision { 0 }) : 0;
+    }
+
+    bool allHold(LocalFleet& fleet, Revision revision)
+    {
+        return eventually([&] {
+            for (const auto& instance : fleet.instances()) {
+                if (revisionOf(fleet, instance) != revision)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+} // namespace
+
+TEST_CASE("a change is in force everywhere, and an unsound one nowhere", "[net]")
+{
+    LocalFleet fleet(FleetShape {});
+    fleet.startAll();
+    auto& route = fleet.declaration().index.routes.front();
+    route.pattern = "/renamed/**";
+    const auto accepted = fleet.publish();
+    REQUIRE(allHold(fleet, accepted));
+    for (const auto& instance : fleet.instances()) {
+        HttpCaller caller(fleet.callerAddress(instance));
+        CHECK(caller.send(keyed("/renamed/1"))->status == 200);
+        CHECK(caller.send(keyed("/status/1"))->status == 405);
+    }
+    // A route that leads nowhere: refused whole, though it also changes a pattern.
+    route.pattern = "/again/**";
+    route.service = { "nowhere" };
+    const auto refused = fleet.publish();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    for (const auto& instance : fleet.instances()) {
+        CHECK(revisionOf(fleet, instance) == accepted);
+        HttpCaller caller(fleet.callerAddress(instance));
+        CHECK(caller.send(keyed("/renamed/1"))->status == 200);
+    }
+    route.service = { "status" };
+    const auto mended = fleet.publish();
+    CHECK(mended > refused);
+    REQUIRE(allHold(fleet, mended));
+}
+
+TEST_CASE(
+    "a node that starts while the platform is away or stale learns the newest revision from peers", "[net]")
+{
+    LocalFleet fleet(FleetShape { 1, 3 });
+    fleet.startAll();
+    fleet.declaration().index.routes.front().pattern = "/second/**";
+    const auto second = fleet.publish();
+    REQUIRE(allHold(fleet, second));
+    fleet.kill("i13");
+    SECTION("away") { fleet.platform().setAway(true); }
+    SECTION("stale") { fleet.platform().setStaleAt(1); }
+    REQUIRE(fleet.startNode("i13"));
+    HttpCaller caller(fleet.callerAddress("i13"));
+    // From its first answer on it goes by the newest revision.
+    const auto old = caller.send(keyed("/status/1"));
+    REQUIRE(old);
+    CHECK(old->status == 405);
+    CHECK(revisionOf(fleet, "i13") == second);
+    for (const auto& instance : fleet.instances())
+        CHECK(revisionOf(fleet, instance) == second);
+}
+
+TEST_CASE("a withdrawn key stops working for connected callers and for downloads under way", "[net]")
+{
+    LocalFleet fleet(FleetShape {});
+    fleet.startAll();
+    HttpCaller connected(fleet.callerAddress("i21"));
+    REQUIRE(connected.send(keyed("/status/1"))->status == 200);
+    // A download that the caller reads slowly, so that it lasts beyond the withdrawal.
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket download(io);
+    const auto address = fleet.callerAddress("i11");
+    download.connect({ boost::asio::ip::make_address(address.address), address.port });
+    const std::string request
+        = "GET /status/bytes/60000000 HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + testKey("harbour") + "\r\n\r\n";
+    boost::asio::write(download, boost::asio::buffer(request));
+    std::string part(100000, '\0');
+    std::size_t received = download.read_some(boost::asio::buffer(part));
+    REQUIRE(received > 0);
+    fleet.declaration().organisations[0].keys.clear();
+    fleet.publish();
+    CHECK(eventually([&] {
+        const auto reply = connected.send(keyed("/status/1"));
+        return reply && reply->status == 401;
+    }));
+    boost::system::error_code error;
+    while (!error)
+        received += download.read_some(boost::asio::buffer(part), error);
+    CHECK(received < 60000000);
+    CHECK(connected.send(keyed("/status/1", "orchard"))->status == 200);
+}
+
+TEST_CASE("a planned stop finishes what is under way and cuts nothing", "[net]")
+{
+    LocalFleet fleet(FleetShape { 1, 3 });
+    for (const char* target : { "t11", "t12", "t13" }) {
+        FaultPlan plan;
+        plan.serviceMs = 60;
+        fleet.target(target).setPlan(plan);
+    }
+    fleet.startAll();
+    std::atomic<bool> running { true };
+    std::atomic<long> answered { 0 };
+    std::atomic<long> refusedTruly { 0 };
+    std::atomic<long> bad { 0 };
+    std::vector<std::thread> callers;
+    // Callers of the node that stops, who go to another node once it tells them to, and callers of another
+    // node.
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&, i] {
+            std::string instance = i % 2 == 0 ? "i12" : "i11";
+            auto caller = std::make_unique<HttpCaller>(fleet.callerAddress(instance));
+            while (running.load()) {
+                const auto reply = caller->send(keyed("/status/bytes/50000"));
+                if (!reply || !reply->whole)
+                    ++bad;
+                else if (reply->status == 200)
+                    ++answered;
+                else if (reply->field("Tarragonhaven-Run") == "not-run")
+                    ++refusedTruly;
+                else
+                    ++bad;
+                if (reply && reply->field("Connection") == "close")
+                    caller = std::make_unique<HttpCaller>(fleet.callerAddress("i13"));
+            }
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    fleet.node("i12").beginStop();
+    CHECK(eventually([&] { return fleet.node("i12").drained(); }));
+    fleet.kill("i12");
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    running.store(false);
+    for (auto& caller : callers)
+        caller.join();
+    CHECK(bad.load() == 0);
+    CHECK(answered.load() > 50);
+    INFO("refused as not run: " << refusedTruly.load());
+    // The leaving node's own callers are refused at most once each while it stops.
+    CHECK(refusedTruly.load() <= 12);
+}
+
+TEST_CASE("a target of a leaving instance gets no new work", "[net]")
+{
+    LocalFleet fleet(FleetShape { 1, 3 });
+    fleet.startAll();
+    fleet.platform().setLeaving({ "i12" });
+    HttpCaller caller(fleet.callerAddress("i11"));
+    // The list is read every second or so.
+    std::this_thread::sleep_for(std::chrono::seconds(7));
+    const auto before = fleet.target("t12").seen().requests;
+    for (int i = 0; i < 100; ++i)
+        REQUIRE(caller.send(keyed("/status/1"))->status == 200);
+    CHECK(fleet.target("t12").seen().requests == before);
+}
+
+TEST_CASE("bytes that are no proper request get a clear answer or a closed connection", "[net]")
+{
+    LocalFleet fleet(FleetShape { 1, 1 });
+    fleet.startAll();
+    const auto before = fleet.target("t11").seen().requests;
+    const std::string key = "X-Api-Key: " + testKey("harbour") + "\r\n";
+    const std::string good = "GET /status/1 HTTP/1.1\r\nHost: h\r\n" + key;
+    struct Case {
+        std::string name;
+        std::string bytes;
+        std::string expected;
+    };
+    const std::vector<Case> cases {
+        { "garbage", "\x01\x02\x03 garbage\r\n\r\n", "HTTP/1.1 400" },
+        { "both lengths", good + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            "HTTP/1.1 400" },
+        { "two lengths", good + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabc", "HTTP/1.1 400" },
+        { "two codings", good + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n",
+            "HTTP/1.1 400" },
+        { "unknown coding", good + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 400" },
+        { "no host", "GET /status/1 HTTP/1.1\r\n" + key + "\r\n", "HTTP/1.1 400" },
+        { "two hosts", good + "Host: other\r\n\r\n", "HTTP/1.1 400" },
+        { "old version", "GET /status/1 HTTP/1.0\r\nHost: h\r\n" + key + "\r\n", "HTTP/1.1 505" },
+        { "absolute target", "GET http://h/status/1 HTTP/1.1\r\nHost: h\r\n" + key + "\r\n", "HTTP/1.1 400" },
+        { "large head", good + "X-Big: " + std::string(100000, 'b') + "\r\n\r\n", "HTTP/1.1 431" },
+        { "bad chunk",
+            "PUT /status/1 HTTP/1.1\r\nHost: h\r\n" + key + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "" },
+        { "head cut short", "GET /status/1 HTT", "" },
+    };
+    for (const auto& item : cases) {
+        INFO(item.name);
+        HttpCaller caller(fleet.callerAddress("i11"));
+        const auto answer = caller.sendRaw(item.bytes, 300);
+        CHECK(answer.substr(0, item.expected.size()) == item.expected);
+        CHECK(answer.find("HTTP/1.1 200") == std::string::npos);
+    }
+    const auto seen = fleet.target("t11").seen().requests;
+    // "bad chunk" reaches the target as a request whose body breaks off, which it does not run.
+    CHECK(seen == before);
+    const auto peer = fleet.declaration().index.instances.front().peerAddress;
+    for (const std::string& bytes : { std::string("\xff\xff\xff\xff garbage"), std::string(4, '\0'),
+             std::string("\0\0\0\x05hello", 9), encodeFrame(GoodbyeFrame {}) }) {
+        HttpCaller caller(peer);
+        CHECK(caller.sendRaw(bytes, 300).empty());
+    }
+    HelloFrame stranger;
+    stranger.version = 99;
+    stranger.fleet = "test";
+    HttpCaller other(peer);
+    CHECK(other.sendRaw(encodeFrame(stranger), 300).empty());
+    HttpCaller caller(fleet.callerAddress("i11"));
+    CHECK(caller.send(keyed("/status/1"))->status == 200);
+}
+
+TEST_CASE("answers that a target cuts or does not frame are never shown as whole", "[net]")
+{
+    LocalFleet fleet(FleetShape { 1, 2 });
+    fleet.startAll();
+    struct Case {
+        double cutShare;
+        double unframedShare;
+    };
+    for (const auto& item : { Case { 1, 0 }, Case { 0, 1 } }) {
+        for (const char* target : { "t11", "t12" }) {
+            FaultPlan plan;
+            plan.cutShare = item.cutShare;
+            plan.unframedShare = item.unframedShare;
+            fleet.target(target).setPlan(plan);
+        }
+        for (int i = 0; i < 20; ++i) {
+            HttpCaller caller(fleet.callerAddress(i % 2 == 0 ? "i11" : "i12"));
+            const auto reply = caller.send(keyed("/status/1"));
+            REQUIRE(reply);
+            const bool refused = reply->status >= 500 && reply->field("Tarragonhaven-Run") == "unknown";
+            INFO(reply->status << " " << reply->body);
+            CHECK((refused || !reply->whole));
+        }
+    }
+}
+
+TEST_CASE("pipelined requests are answered in order, each with its own answer", "[net]")
+{
+    LocalFleet fleet(FleetShape {});
+    fleet.startAll();
+    std::string bytes;
+    for (int i = 0; i < 50; ++i)
+        bytes += "GET /status/item-" + std::to_string(i)
+            + "- HTTP/1.1\r\nHost: h\r\nX-Api-Key: " + testKey(i % 2 == 0 ? "harbour" : "orchard")
+            + "\r\nRequest-Mark: mark-" + std::to_string(i) + "-\r\n\r\n";
+    HttpCaller caller(fleet.callerAddress("i11"));
+    const auto answers = caller.sendRaw(bytes, 1500);
+    std::size_t at = 0;
+    for (int i = 0; i < 50; ++i) {
+        INFO(i);
+        at = answers.find("/status/item-" + std::to_string(i) + "-", at);
+        REQUIRE(at != std::string::npos);
+        const auto mark = answers.rfind("mark-" + std::to_string(i) + "-", at);
+        CHECK(mark != std::string::npos);
+    }
+}
+
+} // namespace tarragonhaven::testing
