--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -69,6 +69,8 @@
     const auto now = util::BootClock::now();
     noteWaitingAges(now);
     for (auto& [name, service] : m_services) {
+        if (service.quiet())
+            continue;
         for (const auto& decision : service.evaluate(now))
             logEjection(name, decision);
     }
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -92,6 +92,7 @@
 void ServiceHealth::update(const Service& service)
 {
     m_service = service;
+    m_touched = true;
     std::set<TargetName> declared;
     for (const auto& target : m_service.targets) {
         declared.insert(target.name);
@@ -125,6 +126,7 @@
         return;
     state.sentSinceReport = 0;
     state.lastReport = now;
+    m_touched = true;
     if (delta.failures == 0 && delta.answers > 0)
         state.standing.noteGood(delta.answers, now);
 }
@@ -132,15 +134,19 @@
 void ServiceHealth::notePathFailure(const TargetName& target)
 {
     const auto found = m_states.find(target);
-    if (found != m_states.end())
-        found->second.evidence.notePathFailure(baselineFor(target));
+    if (found == m_states.end())
+        return;
+    m_touched = true;
+    found->second.evidence.notePathFailure(baselineFor(target));
 }
 
 void ServiceHealth::noteWaiting(const TargetName& target, util::Duration age, util::Duration previousAge)
 {
     const auto found = m_states.find(target);
-    if (found != m_states.end())
-        found->second.evidence.noteWaiting(age, previousAge, baselineFor(target));
+    if (found == m_states.end())
+        return;
+    m_touched = true;
+    found->second.evidence.noteWaiting(age, previousAge, baselineFor(target));
 }
 
 void ServiceHealth::noteSent(const TargetName& target)
@@ -161,6 +167,7 @@
 
 void ServiceHealth::markLeaving(const std::set<InstanceName>& instances)
 {
+    m_touched = true;
     for (auto& [name, state] : m_states)
         state.leaving = instances.contains(state.target.instance);
 }
@@ -188,17 +195,30 @@
     return (slots * m_service.floorPercent + percent - 1) / percent;
 }
 
+std::vector<double> ServiceHealth::sortedScores() const
+{
+    std::vector<double> scores;
+    for (const auto& [name, state] : m_states)
+        scores.push_back(state.evidence.score());
+    std::sort(scores.begin(), scores.end());
+    return scores;
+}
+
+// The median of the others is found in the sorted scores of all by leaving one with the own score out.
+double ServiceHealth::excessOf(double own, const std::vector<double>& sorted)
+{
+    if (sorted.size() < 2)
+        return own;
+    const auto middle = (sorted.size() - 2) / 2;
+    const auto place
+        = static_cast<std::size_t>(std::lower_bound(sorted.begin(), sorted.end(), own) - sorted.begin());
+    return own - sharedWeight * sorted[place <= middle ? middle + 1 : middle];
+}
+
 double ServiceHealth::excessScore(const TargetName& target) const
 {
-    std::vector<double> others;
-    double own = 0;
-    for (const auto& [name, state] : m_states) {
-        if (name == target)
-            own = state.evidence.score();
-        else
-            others.push_back(state.evidence.score());
-    }
-    return own - sharedWeight * median(others);
+    const auto found = m_states.find(target);
+    return found == m_states.end() ? 0 : excessOf(found->second.evidence.score(), sortedScores());
 }
 
 double ServiceHealth::threshold(Standing standing) const
@@ -309,8 +329,9 @@
 void ServiceHealth::eject(util::Time now, std::vector<EjectionDecision>& decisions)
 {
     std::vector<std::pair<double, State*>> candidates;
+    const auto scores = sortedScores();
     for (auto& [name, state] : m_states) {
-        const double excess = excessScore(name);
+        const double excess = excessOf(state.evidence.score(), scores);
         const auto standing = state.standing.standing();
         if (standing != Standing::Ejected && excess >= threshold(standing) && confirmed(state, now))
             candidates.emplace_back(excess, &state);
@@ -357,6 +378,8 @@
     noteSuspicions(now);
     eject(now, decisions);
     restoreFloor(now, decisions);
+    m_touched = std::any_of(m_states.begin(), m_states.end(),
+        [](const auto& item) { return item.second.standing.standing() != Standing::Active; });
     return decisions;
 }
 
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -74,6 +74,9 @@
     // Marks the targets of instances that leave or are gone. Others are unmarked.
     void markLeaving(const std::set<InstanceName>& instances);
 
+    // Whether nothing has happened that an evaluation could act on: no evidence is new and every target is
+    // active.
+    [[nodiscard]] bool quiet() const { return !m_touched; }
     // Moves standings on and decides on ejections.
     std::vector<EjectionDecision> evaluate(util::Time now);
 
@@ -102,6 +105,8 @@
     using States = std::map<TargetName, State>;
 
     static bool countsForFloor(const State& state);
+    [[nodiscard]] std::vector<double> sortedScores() const;
+    static double excessOf(double own, const std::vector<double>& sorted);
     [[nodiscard]] PeerBaseline baselineFor(const TargetName& target) const;
     [[nodiscard]] double threshold(Standing standing) const;
     [[nodiscard]] EjectionDecision decision(const State& state, EjectionEvent event, double score) const;
@@ -117,6 +122,7 @@
     Service m_service;
     States m_states;
     std::map<TargetName, util::Time> m_keptLogged;
+    bool m_touched = true;
 };
 
 } // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/testing/capacity_bench.cc
@@ -0,0 +1,324 @@
+// Slopes for docs/CAPACITY.md: what each part costs in time, memory and bytes as its size grows. Prints a
+// table; run it alone on an idle machine.
+
+#include "tarragonhaven/configuration.h"
+#include "tarragonhaven/control_core.h"
+#include "tarragonhaven/declaration_parse.h"
+#include "tarragonhaven/declaration_write.h"
+#include "tarragonhaven/log_channel.h"
+#include "tarragonhaven/peer_frame.h"
+#include "tarragonhaven/rate_wallet.h"
+#include "tarragonhaven/service_health.h"
+#include "tarragonhaven/slot_queue.h"
+#include "tarragonhaven/target_chooser.h"
+#include "util/sha256.h"
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <malloc.h>
+#include <random>
+#include <string>
+
+namespace tarragonhaven {
+
+namespace {
+
+    double secondsOf(const std::function<void()>& work)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        work();
+        return std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    }
+
+    // Uses a result, so that the work that made it is not left out.
+    void requireFound(const void* found)
+    {
+        if (!found)
+            std::abort();
+    }
+
+    // Memory that is allocated and not freed.
+    double liveMegabytes()
+    {
+        const auto info = mallinfo2();
+        return static_cast<double>(info.uordblks + info.hblkhd) / 1e6;
+    }
+
+    void row(const char* part, double size, const char* unit, double value, const char* measure)
+    {
+        std::printf("%-34s %9.0f %-14s %12.3f %s\n", part, size, unit, value, measure);
+    }
+
+    Declaration declarationOf(std::size_t organisations, std::size_t routes, std::size_t instances)
+    {
+        Declaration declaration;
+        auto& index = declaration.index;
+        index.fleet = "bench";
+        index.dataCentres = { { "dc1" } };
+        Service service { { "s" }, 50, EjectionStance::Balanced, {} };
+        OwnershipGroup group { "g", { "dc1" }, {}, {} };
+        for (std::size_t i = 0; i < instances; ++i) {
+            const InstanceName name { "instance-" + std::to_string(i) };
+            const Endpoint caller { "10.0.0." + std::to_string(i % 250),
+                static_cast<std::uint16_t>(1000 + i / 250) };
+            const Endpoint peer { caller.address, static_cast<std::uint16_t>(caller.port + 10000) };
+            index.instances.push_back({ name, { "dc1" }, caller, peer });
+            service.targets.push_back({ { "target-" + std::to_string(i) }, name, caller, 5 });
+            if (group.members.size() < 15)
+                group.members.push_back(name);
+        }
+        index.groups = { group };
+        index.services = { service };
+        for (std::size_t i = 0; i < routes; ++i) {
+            Route route;
+            route.name = { "route-" + std::to_string(i) };
+            route.method = "GET";
+            route.pattern = "/area-" + std::to_string(i % 80) + "/*/item-" + std::to_string(i) + "/**";
+            route.service = { "s" };
+            route.deadline = std::chrono::seconds(5);
+            index.routes.push_back(route);
+        }
+        for (std::size_t i = 0; i < organisations; ++i) {
+            const auto name = "organisation-" + std::to_string(i);
+            declaration.organisations.push_back({ { name }, 10, 20, { { util::sha256Hex(name), 0 } } });
+        }
+        return declaration;
+    }
+
+    void benchOrganisations()
+    {
+        for (const std::size_t count : { 1000, 8000, 32000, 130000 }) {
+            const auto values = publishedValues(declarationOf(count, 10, 15));
+            const double before = liveMegabytes();
+            std::map<std::string, Configuration::Shard> shards;
+            ConfigurationPointer configuration;
+            std::size_t largest = 0;
+            const double parse = secondsOf([&] {
+                for (const auto& [name, text] : values) {
+                    if (name == indexValueName)
+                        continue;
+                    largest = std::max(largest, text.size());
+                    shards.emplace(
+                        name, *Configuration::parseShard(std::make_shared<const std::string>(text)));
+                }
+            });
+            const double assemble = secondsOf([&] {
+                configuration = *Configuration::assemble(
+                    1, std::make_shared<const std::string>(values.at(indexValueName)), shards);
+            });
+            const auto n = static_cast<double>(count);
+            row("organisations: parse all shards", n, "organisations", parse * 1e3, "ms");
+            row("organisations: assemble a change", n, "organisations", assemble * 1e3, "ms");
+            row("organisations: memory", n, "organisations", liveMegabytes() - before, "MB");
+            row("organisations: largest shard", n, "organisations", static_cast<double>(largest) / 1e3, "KB");
+            row("organisations: index", n, "organisations",
+                static_cast<double>(values.at(indexValueName).size()) / 1e3, "KB");
+            row("organisations: values", n, "organisations", static_cast<double>(values.size()), "values");
+            const auto digest = util::sha256Hex("organisation-7");
+            const double lookup = secondsOf([&] {
+                for (int i = 0; i < 1000000; ++i)
+                    requireFound(configuration->organisationOfKey(digest, 0));
+            });
+            row("organisations: key lookup", n, "organisations", lookup * 1e3, "ns");
+        }
+    }
+
+    void benchRoutes()
+    {
+        for (const std::size_t count : { 400, 1600, 3200, 6400 }) {
+            const auto declaration = declarationOf(1, count, 15);
+            const RouteTable table(declaration.index.routes);
+            const double lookup = secondsOf([&] {
+                for (std::size_t i = 0; i < 1000000; ++i)
+                    requireFound(table.find("GET", "/area-7/x/item-87/rest/of/path"));
+            });
+            row("routes: lookup", static_cast<double>(count), "routes", lookup * 1e3, "ns");
+            row("routes: index", static_cast<double>(count), "routes",
+                static_cast<double>(publishedValues(declaration).at(indexValueName).size()) / 1e3, "KB");
+        }
+    }
+
+    void benchInstances()
+    {
+        for (const std::size_t count : { 225, 450, 900, 1800 }) {
+            const auto declaration = declarationOf(1, 10, count);
+            const auto values = publishedValues(declaration);
+            const double parse = secondsOf([&] {
+                if (!parseFleetIndex(values.at(indexValueName)))
+                    std::abort();
+            });
+            row("instances: parse index", static_cast<double>(count), "instances", parse * 1e3, "ms");
+            row("instances: index", static_cast<double>(count), "instances",
+                static_cast<double>(values.at(indexValueName).size()) / 1e3, "KB");
+        }
+    }
+
+    // One node of a group: what a second of pings costs it.
+    void benchPings()
+    {
+        for (const std::size_t members : { 5, 10, 15, 30 }) {
+            std::vector<InstanceName> names;
+            for (std::size_t i = 0; i < members; ++i)
+                names.push_back({ "instance-" + std::to_string(i) });
+            const OwnershipGroup group { "g", { "dc1" }, names, {} };
+            util::ManualClock clock;
+            OwnershipTracker tracker(names[0], 1, clock.now());
+            tracker.setGroup(group, clock.now());
+            std::vector<OwnershipTracker> peers;
+            for (std::size_t i = 1; i < members; ++i) {
+                peers.emplace_back(names[i], 1, clock.now());
+                peers.back().setGroup(group, clock.now());
+            }
+            std::size_t bytes = 0;
+            double own = 0;
+            constexpr int rounds = 200;
+            for (int round = 0; round < rounds; ++round) {
+                clock.advance(std::chrono::milliseconds(400));
+                const PingMessage ping { clock.now().time_since_epoch().count(), 1, false };
+                std::vector<PongMessage> pongs;
+                for (auto& peer : peers)
+                    pongs.push_back(*peer.answer(names[0], 1, ping, clock.now()));
+                own += secondsOf([&] {
+                    tracker.renew(clock.now());
+                    for (std::size_t i = 0; i < pongs.size(); ++i) {
+                        tracker.notePong(names[i + 1], pongs[i], clock.now());
+                        tracker.answer(names[i + 1], 1, ping, clock.now());
+                        bytes += encodeControl({ "bench", names[0], 1, ping }).size();
+                        bytes += encodeControl({ "bench", names[0], 1, pongs[i] }).size();
+                    }
+                });
+            }
+            const double seconds = rounds * 0.4;
+            row("pings: processor", static_cast<double>(members), "members", own / seconds * 100,
+                "% of a core");
+            row("pings: bytes sent, with UDP/IP", static_cast<double>(members), "members",
+                (static_cast<double>(bytes) + 28.0 * 2 * rounds * static_cast<double>(members - 1)) / seconds
+                    / 1e3,
+                "KB/s");
+        }
+    }
+
+    void benchTokens()
+    {
+        const TokenAsk ask { 1234567, "organisation-12345", 1, 0 };
+        const TokenGrant grant { 1234567, true, 7654321, 1, 0, 0 };
+        const double askBytes = static_cast<double>(
+            encodeControl({ "bench", { "instance-1234" }, 1ull << 60, TokenAskMessage { { ask } } }).size());
+        const double grantBytes = static_cast<double>(encodeControl(
+            { "bench", { "instance-1234" }, 1ull << 60,
+                TokenGrantMessage { { grant } } }).size());
+        row("tokens: an ask alone, with UDP/IP", 1, "ask", askBytes + 28, "B");
+        row("tokens: a grant alone, with UDP/IP", 1, "grant", grantBytes + 28, "B");
+        for (const int buckets : { 1000, 8000, 32000, 130000 }) {
+            RateOwner owner;
+            util::ManualClock clock;
+            const OwnershipTerm term { 1, clock.now(), clock.now() + std::chrono::hours(1) };
+            clock.advance(std::chrono::seconds(10));
+            const double before = liveMegabytes();
+            const double first = secondsOf([&] {
+                for (int i = 0; i < buckets; ++i)
+                    owner.grant(
+                        { 1, "organisation-" + std::to_string(i), 1, 0 }, { 10, 20 }, term, clock.now());
+            });
+            row("tokens: grant", buckets, "buckets", first / buckets * 1e9, "ns");
+            row("tokens: memory", buckets, "buckets", liveMegabytes() - before, "MB");
+        }
+        for (const int accounts : { 100, 400, 900, 3600 }) {
+            WalletOptions options;
+            options.dataCentres = { 0 };
+            RateWallet wallet(options);
+            util::ManualClock clock;
+            for (int i = 0; i < accounts; ++i)
+                wallet.enter(
+                    { "organisation-" + std::to_string(i) }, static_cast<std::uint64_t>(i), clock.now());
+            for (const auto& planned : wallet.takeAsks())
+                wallet.noteGrant(
+                    { planned.ask.organisation }, { planned.ask.askId, true, 1, 1, 0, 0 }, clock.now());
+            wallet.takeVerdicts();
+            const double tick = secondsOf([&] {
+                for (int i = 0; i < 1000; ++i)
+                    wallet.tick(clock.now());
+            });
+            row("wallet: tick (100 a second)", accounts, "organisations", tick * 1e3 / 1000 * 100 / 10,
+                "% of a core");
+        }
+    }
+
+    void benchHealth()
+    {
+        for (const int targets : { 5, 15, 51, 150 }) {
+            Service service { { "s" }, 50, EjectionStance::Balanced, {} };
+            for (int i = 0; i < targets; ++i)
+                service.targets.push_back(
+                    { { "t" + std::to_string(i) }, { "i" + std::to_string(i) }, {}, 5 });
+            ServiceHealth health(service);
+            util::ManualClock clock;
+            std::mt19937_64 random(1);
+            TargetReport report;
+            report.incarnation = 1;
+            const double reports = secondsOf([&] {
+                for (int i = 0; i < 20000; ++i) {
+                    ++report.sequence;
+                    ++report.answers;
+                    report.logLatencySum += 14;
+                    health.noteReport(
+                        service.targets[random() % service.targets.size()].name, report, clock.now());
+                }
+            });
+            const double evaluations = secondsOf([&] {
+                for (int i = 0; i < 200; ++i)
+                    health.evaluate(clock.now());
+            });
+            const auto local = [](const Target&) { return true; };
+            const double choices = secondsOf([&] {
+                for (int i = 0; i < 20000; ++i)
+                    chooseTarget(health.views(clock.now()), { true, {} }, local, random);
+            });
+            row("health: a report", targets, "targets", reports / 20000 * 1e6, "us");
+            row("health: an evaluation", targets, "targets", evaluations / 200 * 1e6, "us");
+            row("health: a choice", targets, "targets", choices / 20000 * 1e6, "us");
+        }
+    }
+
+    void benchSmallParts()
+    {
+        const double digest = secondsOf([] {
+            for (int i = 0; i < 100000; ++i)
+                util::sha256Hex("thk_0123456789abcdef0123456789abcdef0123456789abcdef");
+        });
+        row("a key's digest", 1, "key", digest / 100000 * 1e9, "ns");
+        LogChannel log("instance-1", LogLevel::Info);
+        const double line = secondsOf([&] {
+            for (int i = 0; i < 5000; ++i)
+                log.write(LogLevel::Info, "route",
+                    { { "request", "i-1-2" }, { "organisation", "o" }, { "route", "r" }, { "service", "s" },
+                        { "target", "t" }, { "reason", "cheaper of two draws" } });
+        });
+        row("a log line, at its producer", 1, "line", line / 5000 * 1e9, "ns");
+        const ResponseFrame frame { "instance-1-2-3",
+            { 200, { { "Content-Type", "text/plain" } }, true, 100 }, {} };
+        const double frames = secondsOf([&] {
+            for (int i = 0; i < 100000; ++i)
+                decodeFrame(std::string_view(encodeFrame(frame)).substr(frameLengthBytes));
+        });
+        row("a frame, written and read", 1, "frame", frames / 100000 * 1e9, "ns");
+    }
+
+} // namespace
+
+} // namespace tarragonhaven
+
+int main()
+{
+    std::printf("%-34s %9s %-14s %12s\n", "PART", "SIZE", "OF", "COST");
+    tarragonhaven::benchOrganisations();
+    tarragonhaven::benchRoutes();
+    tarragonhaven::benchInstances();
+    tarragonhaven::benchPings();
+    tarragonhaven::benchTokens();
+    tarragonhaven::benchHealth();
+    tarragonhaven::benchSmallParts();
+    return 0;
+}
