Add a model of targets that measures the policy beside baselines

policy_bench runs the decision code of entries and guards against modelled targets under a virtual clock, for a service of each deployment, over twenty seeds, beside round robin and ejection after five errors in a row.

--- /dev/null
+++ b/tarragonhaven/testing/policy_bench.cc
@@ -0,0 +1,192 @@
+// The measures of docs/MEASURES.md: detection time, false ejections, the worst-served organisation and
+// goodput, for a service of each deployment, over twenty seeds, ours beside the baselines.
+
+#include "tarragonhaven/testing/policy_model.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+namespace tarragonhaven::testing {
+
+namespace {
+
+    constexpr std::uint64_t seeds = 20;
+
+    struct Deployment {
+        std::string name;
+        ModelOptions options;
+    };
+
+    ModelOptions qali()
+    {
+        ModelOptions options;
+        options.organisations = { { "district", 60 }, { "portal", 40 }, { "school", 8 }, { "audit", 2 } };
+        return options;
+    }
+
+    ModelOptions omaruru()
+    {
+        ModelOptions options;
+        options.targets = 11;
+        options.slots = 3;
+        options.entries = 16;
+        options.dataCentres = 4;
+        options.floorPercent = 75;
+        options.stance = EjectionStance::Careful;
+        options.linkMs = 1.5;
+        options.organisations
+            = { { "counter", 80 }, { "services", 60 }, { "theatre", 10 }, { "carnival", 4 } };
+        return options;
+    }
+
+    double quantile(std::vector<double> values, double share)
+    {
+        if (values.empty())
+            return -1;
+        std::sort(values.begin(), values.end());
+        return values[std::min(
+            values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+    }
+
+    // One line: the median and the worst of the detection times, ejections, goodput.
+    void measure(const std::string& scenario, const Deployment& deployment, const ModelOptions& options)
+    {
+        for (const auto policy : { Policy::Ours, Policy::RoundRobin, Policy::ConsecutiveErrors }) {
+            std::vector<double> detections;
+            long missed = 0;
+            long falseEjections = 0;
+            long ejections = 0;
+            long offered = 0;
+            long good = 0;
+            std::vector<double> latencies;
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                auto run = options;
+                run.policy = policy;
+                run.seed = seed;
+                const auto result = runModel(run);
+                missed += result.detectionSeconds < 0 ? 1 : 0;
+                if (result.detectionSeconds >= 0)
+                    detections.push_back(result.detectionSeconds);
+                falseEjections += result.falseEjections;
+                ejections += result.ejections;
+                good += result.good;
+                for (const auto& [name, count] : result.offered)
+                    offered += count;
+                for (const auto& [name, values] : result.latencies)
+                    latencies.insert(latencies.end(), values.begin(), values.end());
+            }
+            std::printf("%-22s %-8s %-19s %8.2f %8.2f %4ld %7ld %7ld %8.4f %9.1f\n", scenario.c_str(),
+                deployment.name.c_str(), std::string(name(policy)).c_str(), quantile(detections, 0.5),
+                quantile(detections, 1), missed, falseEjections, ejections,
+                static_cast<double>(good) / static_cast<double>(offered), quantile(latencies, 0.99));
+        }
+    }
+
+    ModelFault faultAt20()
+    {
+        ModelFault fault;
+        fault.fromSecond = 20;
+        return fault;
+    }
+
+    void measureFaults(const Deployment& deployment)
+    {
+        auto options = deployment.options;
+        measure("steady", deployment, options);
+        struct Case {
+            const char* name;
+            double slow;
+            double fail;
+            bool hang;
+            double flap;
+            bool whole;
+        };
+        for (const auto& item : { Case { "10 times slower", 10, 0, false, 0, false },
+                 Case { "3 times slower", 3, 0, false, 0, false },
+                 Case { "fails every request", 1, 1, false, 0, false },
+                 Case { "fails one in five", 1, 0.2, false, 0, false },
+                 Case { "hangs", 1, 0, true, 0, false }, Case { "flaps, 4 s", 10, 0, false, 4, false },
+                 Case { "flaps, 20 s", 10, 0, false, 20, false },
+                 Case { "whole service slow", 4, 0, false, 0, true } }) {
+            auto fault = faultAt20();
+            fault.slowFactor = item.slow;
+            fault.failShare = item.fail;
+            fault.hang = item.hang;
+            fault.flapSeconds = item.flap;
+            fault.wholeService = item.whole;
+            options.faults = { fault };
+            measure(item.name, deployment, options);
+        }
+    }
+
+    // The organisation that is served worst while another sends five times its rate: its p99 against that
+    // without the abuser, and the share of its requests that are answered.
+    void measureAbuse(const Deployment& deployment)
+    {
+        for (const auto policy : { Policy::Ours, Policy::RoundRobin }) {
+            std::vector<double> ratios;
+            double worstGoodput = 1;
+            for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+                auto options = deployment.options;
+                options.policy = policy;
+                options.seed = seed;
+                const auto calm = runModel(options);
+                auto& abuser = options.organisations.front();
+                abuser.ratePerSecond *= 5;
+                // Without a limit at the entry, so that the sharing of slots is what is measured.
+                const auto abused = runModel(options);
+                for (std::size_t i = 1; i < options.organisations.size(); ++i) {
+                    const auto& name = options.organisations[i].name;
+                    const auto found = abused.latencies.find(name);
+                    const auto before = calm.latencies.find(name);
+                    if (found == abused.latencies.end() || before == calm.latencies.end())
+                        continue;
+                    ratios.push_back(quantile(found->second, 0.99) / quantile(before->second, 0.99));
+                    worstGoodput = std::min(worstGoodput,
+                        static_cast<double>(abused.answered.at(name))
+                            / static_cast<double>(abused.offered.at(name)));
+                }
+            }
+            std::printf(
+                "%-22s %-8s %-19s p99 with / without: median %.2f, worst %.2f; worst goodput share %.3f\n",
+                "five times its rate", deployment.name.c_str(), std::string(name(policy)).c_str(),
+                quantile(ratios, 0.5), quantile(ratios, 1), worstGoodput);
+        }
+    }
+
+    void measureOverload(const Deployment& deployment)
+    {
+        for (const double load : { 0.5, 1.0, 2.0, 3.0, 5.0 }) {
+            auto options = deployment.options;
+            const double capacity = options.targets * options.slots / (options.serviceMs / 1000 * 1.083);
+            double offered = 0;
+            for (const auto& organisation : options.organisations)
+                offered += organisation.ratePerSecond;
+            for (auto& organisation : options.organisations)
+                organisation.ratePerSecond *= load * capacity / offered;
+            options.seconds = 20;
+            const auto result = runModel(options);
+            std::printf("%-22s %-8s load %.1f of capacity: %.0f good/s of %.0f/s, ejections %ld\n",
+                "overload", deployment.name.c_str(), load, static_cast<double>(result.good) / options.seconds,
+                load * capacity, result.ejections);
+        }
+    }
+
+} // namespace
+
+} // namespace tarragonhaven::testing
+
+int main()
+{
+    using namespace tarragonhaven::testing;
+    std::printf("%-22s %-8s %-19s %8s %8s %4s %7s %7s %8s %9s\n", "SCENARIO", "FLEET", "POLICY", "DETECT s",
+        "WORST s", "MISS", "FALSE", "EJECTED", "GOODPUT", "p99 ms");
+    for (const auto& deployment : { Deployment { "qali", qali() }, Deployment { "omaruru", omaruru() } }) {
+        measureFaults(deployment);
+        measureAbuse(deployment);
+        measureOverload(deployment);
+    }
+    return 0;
+}
