--- a/tarragonhaven/declaration_parse.cc
+++ b/tarragonhaven/declaration_parse.cc
@@ -7,6 +7,7 @@
 #include "util/json_reader.h"
 
 #include <cstdint>
+#include <utility>
 
 namespace tarragonhaven {
 
@@ -174,59 +175,57 @@
 
     void append(Faults& faults, const Faults& more) { faults.insert(faults.end(), more.begin(), more.end()); }
 
+    // Parses a document of this schema: `read` takes its fields, `check` looks at what was read as a whole.
+    template <typename Read, typename Check>
+    auto parseDocument(const std::string& text, Read read, Check check)
+        -> util::Checked<decltype(read(std::declval<JsonReader&>()))>
+    {
+        const auto document = util::parseJsonObject(text);
+        if (!document)
+            return tl::unexpected(document.error());
+        Faults faults;
+        JsonReader reader(*document, "", faults);
+        readSchema(reader);
+        auto value = read(reader);
+        reader.refuseUnknown();
+        append(faults, check(value));
+        if (!faults.empty())
+            return tl::unexpected(faults);
+        return value;
+    }
+
+    Declaration readDeclaration(JsonReader& reader)
+    {
+        Declaration declaration;
+        declaration.index = readIndex(reader);
+        declaration.organisations = readOrganisations(reader);
+        return declaration;
+    }
+
+    Faults checkDeclaration(const Declaration& declaration)
+    {
+        auto faults = checkIndex(declaration.index);
+        append(faults, checkOrganisations(declaration.organisations));
+        if (!declaration.index.organisationShards.empty())
+            faults.push_back({ "organisationShards", "is written by the values command, not by hand" });
+        return faults;
+    }
+
 } // namespace
 
 util::Checked<Declaration> parseDeclaration(const std::string& text)
 {
-    const auto document = util::parseJsonObject(text);
-    if (!document)
-        return tl::unexpected(document.error());
-    Faults faults;
-    JsonReader reader(*document, "", faults);
-    readSchema(reader);
-    Declaration declaration;
-    declaration.index = readIndex(reader);
-    declaration.organisations = readOrganisations(reader);
-    reader.refuseUnknown();
-    append(faults, checkIndex(declaration.index));
-    append(faults, checkOrganisations(declaration.organisations));
-    if (!declaration.index.organisationShards.empty())
-        faults.push_back({ "organisationShards", "is written by the values command, not by hand" });
-    if (!faults.empty())
-        return tl::unexpected(faults);
-    return declaration;
+    return parseDocument(text, readDeclaration, checkDeclaration);
 }
 
 util::Checked<FleetIndex> parseFleetIndex(const std::string& text)
 {
-    const auto document = util::parseJsonObject(text);
-    if (!document)
-        return tl::unexpected(document.error());
-    Faults faults;
-    JsonReader reader(*document, "", faults);
-    readSchema(reader);
-    auto index = readIndex(reader);
-    reader.refuseUnknown();
-    append(faults, checkIndex(index));
-    if (!faults.empty())
-        return tl::unexpected(faults);
-    return index;
+    return parseDocument(text, readIndex, checkIndex);
 }
 
 util::Checked<std::vector<Organisation>> parseOrganisationShard(const std::string& text)
 {
-    const auto document = util::parseJsonObject(text);
-    if (!document)
-        return tl::unexpected(document.error());
-    Faults faults;
-    JsonReader reader(*document, "", faults);
-    readSchema(reader);
-    auto organisations = readOrganisations(reader);
-    reader.refuseUnknown();
-    append(faults, checkOrganisations(organisations));
-    if (!faults.empty())
-        return tl::unexpected(faults);
-    return organisations;
+    return parseDocument(text, readOrganisations, checkOrganisations);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/node.cc
+++ b/tarragonhaven/node.cc
@@ -94,7 +94,6 @@
 
 void Node::beginStop()
 {
-    m_rep->state.stopping.store(true);
     m_rep->log.write(LogLevel::Info, "node", { { "event", "stopping" } });
     m_rep->traffic.beginStop();
 }
--- a/tarragonhaven/node_state.h
+++ b/tarragonhaven/node_state.h
@@ -8,8 +8,6 @@
 struct NodeState {
     // Set by the traffic thread: requests are taken.
     std::atomic<bool> ready { false };
-    // Set by the main thread: a planned stop has begun.
-    std::atomic<bool> stopping { false };
     // Set by the traffic thread: nothing is under way any more.
     std::atomic<bool> drained { false };
 };
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -54,7 +54,7 @@
 {
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(remaining());
     return { m_context.requestId, m_context.organisation.text, m_target.text, m_context.idempotent,
-        microseconds.count(), m_context.digest, m_head };
+        microseconds.count(), m_head };
 }
 
 void PeerExchange::open(OutcomeHandler<void> handler)
--- a/tarragonhaven/peer_frame.h
+++ b/tarragonhaven/peer_frame.h
@@ -37,10 +37,8 @@
     bool idempotent = false;
     // The rest of the deadline when the frame was sent, in microseconds.
     std::int64_t remainingUs = 0;
-    // A digest of what makes the request likely to crash a target again, or empty.
-    std::string digest;
     RequestHead head;
-    MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, digest, head);
+    MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, head);
 
     friend bool operator==(const OpenFrame&, const OpenFrame&) = default;
 };
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -81,7 +81,6 @@
     context.organisation = { frame.organisation };
     context.idempotent = frame.idempotent;
     context.deadline = util::BootClock::now() + std::chrono::microseconds(frame.remainingUs);
-    context.digest = frame.digest;
     context.entry = { m_link->peer().instance };
     m_exchange = std::make_shared<GuardExchange>(m_target, std::move(context), frame.head);
     std::make_shared<Relay<PeerSession, GuardExchange>>(shared_from_this(), m_exchange, frame.head.hasBody)
--- a/tarragonhaven/peer_session.h
+++ b/tarragonhaven/peer_session.h
@@ -17,7 +17,6 @@
     virtual Guard& guard() = 0;
     // The published value of this name at the revision in force.
     virtual ValueFrame value(const std::string& name) = 0;
-    virtual bool stopping() = 0;
     virtual void peerEnded(const std::string& peer, const std::string& why) = 0;
 };
 
--- a/tarragonhaven/peer_table.cc
+++ b/tarragonhaven/peer_table.cc
@@ -4,13 +4,7 @@
 
 namespace tarragonhaven {
 
-void PeerTable::notePinged(const InstanceName& peer, util::Time now)
-{
-    auto& state = m_peers[peer];
-    state.lastPinged = now;
-    if (!state.silentSince)
-        state.silentSince = now;
-}
+void PeerTable::notePinged(const InstanceName& peer, util::Time now) { m_peers[peer].lastPinged = now; }
 
 void PeerTable::noteHeard(const InstanceName& peer, std::uint64_t incarnation, util::Time now)
 {
@@ -19,7 +13,6 @@
         state.leaving = false;
     state.incarnation = incarnation;
     state.lastHeard = now;
-    state.silentSince.reset();
 }
 
 void PeerTable::noteState(const InstanceName& peer, Revision revision, bool leaving)
--- a/tarragonhaven/peer_table.h
+++ b/tarragonhaven/peer_table.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
@@ -17,8 +16,6 @@
     std::uint64_t incarnation = 0;
     util::Time lastHeard {};
     util::Time lastPinged {};
-    // The first ping since the peer was last heard.
-    std::optional<util::Time> silentSince;
     Revision revision = 0;
     bool leaving = false;
 };
--- a/tarragonhaven/refusal.cc
+++ b/tarragonhaven/refusal.cc
@@ -17,7 +17,6 @@
     constexpr std::array<ReasonRow, refusalReasonCount> reasonRows { {
         { RefusalReason::MalformedRequest, "malformed-request", 400 },
         { RefusalReason::HeaderTooLarge, "header-too-large", 431 },
-        { RefusalReason::BodyTooLarge, "body-too-large", 413 },
         { RefusalReason::VersionUnsupported, "version-unsupported", 505 },
         { RefusalReason::KeyMissing, "key-missing", 401 },
         { RefusalReason::KeyInQuery, "key-in-query", 400 },
@@ -43,7 +42,6 @@
         { RefusalReason::TargetBadFraming, "target-bad-framing", 502 },
         { RefusalReason::PeerUnreachable, "peer-unreachable", 502 },
         { RefusalReason::PeerLost, "peer-lost", 502 },
-        { RefusalReason::Quarantined, "quarantined", 503 },
         { RefusalReason::NotReady, "not-ready", 503 },
         { RefusalReason::Stopping, "stopping", 503 },
     } };
--- a/tarragonhaven/refusal.h
+++ b/tarragonhaven/refusal.h
@@ -22,7 +22,6 @@
 enum class RefusalReason {
     MalformedRequest,
     HeaderTooLarge,
-    BodyTooLarge,
     VersionUnsupported,
     KeyMissing,
     KeyInQuery,
@@ -48,7 +47,6 @@
     TargetBadFraming,
     PeerUnreachable,
     PeerLost,
-    Quarantined,
     NotReady,
     Stopping,
 };
--- a/tarragonhaven/request_context.h
+++ b/tarragonhaven/request_context.h
@@ -17,7 +17,6 @@
     // The entry that asked, at a guard that is another node.
     InstanceName entry;
     util::Time deadline {};
-    std::string digest;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -28,10 +28,11 @@
     constexpr util::Duration keptLogInterval = std::chrono::seconds(5);
     constexpr int percent = 100;
 
+    // An answer on probation proves nothing if it is slower than the others' by more than this base-2
+    // logarithm.
+    constexpr double provingSlowdown = 1.0;
     // What confirms evidence: slower than the others by this, as a base-2 logarithm, beyond the error of the
     // comparison, which is that of answers that spread by `answerSpread`; or failing more by this share.
-    // An answer on probation proves nothing if it is slower than the others' by more than this, likewise.
-    constexpr double provingSlowdown = 1.0;
     constexpr double confirmingSlowdown = 0.7;
     constexpr double answerSpread = 2;
     constexpr double confirmingShare = 0.05;
--- /dev/null
+++ b/tarragonhaven/testing/codec_test.cc
@@ -0,0 +1,127 @@
+// Frames and datagrams: what is written is read again, and bytes of any kind are refused without harm. Keys
+// are found wherever they stand.
+
+#include "tarragonhaven/control_message.h"
+#include "tarragonhaven/key_filter.h"
+#include "tarragonhaven/peer_frame.h"
+#include "tarragonhaven/route_table.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace tarragonhaven::testing {
+
+namespace {
+
+    std::vector<PeerFrame> frames()
+    {
+        const RequestHead request { "POST", "/a?b=c", { { "X", "y" } }, true, 12 };
+        return { HelloFrame { 1, "f", "i", 7 }, OpenFrame { "r", "o", "t", true, 1000, request },
+            OpenedFrame { "r" }, RefusedFrame { "r", 3, 1, 500, "why", {} },
+            BodyFrame { "r", { std::string("a\0b", 3), true } },
+            ResponseFrame { "r", { 200, { { "A", "b" } }, true, -1 }, {} }, ValueRequestFrame { "index" },
+            ValueFrame { "index", true, 9, "{}" }, GoodbyeFrame {} };
+    }
+
+    std::vector<ControlMessage> messages()
+    {
+        return { PingMessage { 5, 6, true }, PongMessage { 5, 6, true, { { 1, 2 } }, 3, false },
+            TokenAskMessage { { { 1, "o", 2, 3 } } }, TokenGrantMessage { { { 1, true, 2, 3, 4, 5 } } },
+            TokenReturnMessage { { { "o", 1, 2 } } }, IdentityBeginMessage { 1, "k", "o", "p" },
+            IdentityEndMessage { 1, "k", 2, 200 }, IdentityVerdictMessage { 1, 2, 3 }, LeavingMessage {},
+            TargetReportMessage { "t", {} } };
+    }
+
+} // namespace
+
+TEST_CASE("frames and datagrams are read as they were written")
+{
+    for (const auto& frame : frames()) {
+        const auto bytes = encodeFrame(frame);
+        REQUIRE(decodeFrameLength(bytes) == bytes.size() - frameLengthBytes);
+        const auto read = decodeFrame(std::string_view(bytes).substr(frameLengthBytes));
+        REQUIRE(read);
+        CHECK(*read == frame);
+    }
+    for (const auto& message : messages()) {
+        const auto read = decodeControl(encodeControl({ "f", { "i" }, 3, message }));
+        REQUIRE(read);
+        CHECK(read->message == message);
+        CHECK(read->from.text == "i");
+    }
+}
+
+TEST_CASE("damaged frames and datagrams are refused or read, and harm nothing")
+{
+    std::mt19937_64 random(1);
+    long refused = 0;
+    const auto damage = [&random](std::string bytes) {
+        const auto changes = 1 + random() % 4;
+        for (std::size_t i = 0; i < changes && !bytes.empty(); ++i)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        if (random() % 4 == 0)
+            bytes.resize(random() % (bytes.size() + 1));
+        return bytes;
+    };
+    for (int round = 0; round < 2000; ++round) {
+        for (const auto& frame : frames())
+            refused += decodeFrame(damage(encodeFrame(frame).substr(frameLengthBytes))) ? 0 : 1;
+        for (const auto& message : messages())
+            refused += decodeControl(damage(encodeControl({ "f", { "i" }, 3, message }))) ? 0 : 1;
+    }
+    CHECK(refused > 10000);
+    CHECK(!decodeFrameLength(std::string(4, '\0')));
+    CHECK(!decodeFrameLength("\xff\xff\xff\xff"));
+    CHECK(!toRefusal({ "r", 999, 0, 0, "", {} }));
+    CHECK(!toRefusal({ "r", 0, -1, 0, "", {} }));
+}
+
+TEST_CASE("keys are found wherever they stand, and taken away")
+{
+    const std::string key = std::string(keyPrefix) + std::string(keyDigits, 'a');
+    CHECK(holdsKey("x" + key));
+    CHECK(holdsKey("/a?b=%74hk_" + std::string(keyDigits, 'A')));
+    CHECK(holdsKey("/a?b=%2574hk_" + std::string(keyDigits, '0')));
+    CHECK(!holdsKey("thk_" + std::string(keyDigits - 1, 'a')));
+    CHECK(!holdsKey("/status/thk_gggggggggggggggggggggggggggggggggggggggggggggggggg"));
+    RequestHead head { "GET", "/",
+        { { "authorization", "bearer " + key }, { "X-Other", key }, { "X-Fine", "v" } }, false, -1 };
+    const auto taken = takeKey(head);
+    REQUIRE(taken);
+    CHECK(taken->text == key);
+    CHECK(head.fields == std::vector<HeaderField> { { "X-Fine", "v" } });
+    RequestHead none { "GET", "/", { { "Authorization", "Basic abc" } }, false, -1 };
+    CHECK(!takeKey(none));
+    CHECK(none.fields.empty());
+}
+
+TEST_CASE("the most specific route is found")
+{
+    const auto route = [](const std::string& name, const std::string& method, const std::string& pattern) {
+        Route result;
+        result.name = { name };
+        result.method = method;
+        result.pattern = pattern;
+        return result;
+    };
+    const RouteTable table(
+        { route("literal", "GET", "/a/b"), route("any", "GET", "/a/*"), route("rest", "GET", "/a/**"),
+            route("deep", "GET", "/a/*/c"), route("post", "POST", "/a/b"), route("root", "GET", "/") });
+    struct Case {
+        std::string method;
+        std::string path;
+        std::string name;
+    };
+    for (const auto& item : { Case { "GET", "/a/b", "literal" }, Case { "GET", "/a/x", "any" },
+             Case { "GET", "/a/x/c", "deep" }, Case { "GET", "/a/x/d", "rest" },
+             Case { "GET", "/a/b/c", "deep" }, Case { "GET", "/a", "rest" }, Case { "POST", "/a/b", "post" },
+             Case { "GET", "/", "root" }, Case { "GET", "/b", "" }, Case { "PUT", "/a/b", "" } }) {
+        INFO(item.method << " " << item.path);
+        const auto* found = table.find(item.method, item.path);
+        CHECK((found ? found->name.text : "") == item.name);
+    }
+    CHECK(table.knowsPath("/a/b/c/d"));
+    CHECK(!table.knowsPath("/b"));
+}
+
+} // namespace tarragonhaven::testing
--- a/tarragonhaven/traffic_duty.h
+++ b/tarragonhaven/traffic_duty.h
@@ -56,7 +56,6 @@
 
     Guard& guard() override { return m_guard; }
     ValueFrame value(const std::string& name) override;
-    bool stopping() override { return m_stopping; }
     void peerEnded(const std::string& peer, const std::string& why) override;
 
 private:
