Read scores from one place, sort members once, and drop accessors that nothing calls

Found on reading the whole change: removeCommonEvidence() gathered the scores that sortedScores() gathers; makeSet() sorted the same members anew for each known set; the peers' newest revision and the two parts of a score had no caller. Behaviour is as before.

Ruled out for now: one member set shared between OwnershipMap and OwnershipTracker, which both make the node's own group's, 256 hashes a member, when members change; the two timeouts of a token ask, in the wallet and in the core.

--- a/tarragonhaven/ownership_tracker.cc
+++ b/tarragonhaven/ownership_tracker.cc
@@ -47,9 +47,9 @@
 OwnershipTracker::SetPointer OwnershipTracker::makeSet(const std::vector<InstanceName>& members)
 {
     // The id depends on the names alone, so an equal set that is known already is shared.
+    auto sorted = members;
+    std::sort(sorted.begin(), sorted.end());
     for (const auto& [id, set] : m_sets) {
-        auto sorted = members;
-        std::sort(sorted.begin(), sorted.end());
         if (set->members() == sorted)
             return set;
     }
--- a/tarragonhaven/peer_table.cc
+++ b/tarragonhaven/peer_table.cc
@@ -1,7 +1,5 @@
 #include "tarragonhaven/peer_table.h"
 
-#include <algorithm>
-
 namespace tarragonhaven {
 
 void PeerTable::notePinged(const InstanceName& peer, util::Time now) { m_peers[peer].lastPinged = now; }
@@ -43,14 +41,6 @@
     return names;
 }
 
-Revision PeerTable::newestRevision() const
-{
-    Revision newest = 0;
-    for (const auto& [name, state] : m_peers)
-        newest = std::max(newest, state.revision);
-    return newest;
-}
-
 PeerTable::Reach PeerTable::reach(util::Time now, util::Duration within) const
 {
     Reach reach;
--- a/tarragonhaven/peer_table.h
+++ b/tarragonhaven/peer_table.h
@@ -30,8 +30,6 @@
 
     [[nodiscard]] const PeerState* find(const InstanceName& peer) const;
     [[nodiscard]] std::set<InstanceName> leaving() const;
-    // The highest revision that a peer said it holds.
-    [[nodiscard]] Revision newestRevision() const;
     // Of the peers that were pinged within `within`, how many there are and how many were heard within it.
     struct Reach {
         int pinged = 0;
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -268,9 +268,7 @@
 // What stands against most targets is a change of the service, not of a target.
 void ServiceHealth::removeCommonEvidence()
 {
-    std::vector<double> scores;
-    for (const auto& [name, state] : m_states)
-        scores.push_back(state.evidence.score());
+    auto scores = sortedScores();
     const double common = median(scores);
     if (common <= 0)
         return;
--- a/tarragonhaven/target_evidence.h
+++ b/tarragonhaven/target_evidence.h
@@ -63,8 +63,6 @@
 
     // The higher of the two sums.
     [[nodiscard]] double score() const;
-    [[nodiscard]] double latencyScore() const { return m_latencyScore; }
-    [[nodiscard]] double failureScore() const { return m_failureScore; }
     // Moving averages, and the number of answers and failures behind them.
     [[nodiscard]] double logLatency() const { return m_logLatency; }
     [[nodiscard]] double failureShare() const { return m_failureShare; }
