--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -4,15 +4,16 @@
 
 #include "tarragonhaven/caller_session.h"
 
+#include "tarragonhaven/close_watch.h"
 #include "tarragonhaven/entry_exchange.h"
 #include "tarragonhaven/http_fields.h"
 #include "tarragonhaven/relay.h"
 
+#include <absl/strings/str_format.h>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
-#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -28,18 +29,15 @@
     using boost::system::error_code;
     using tcp = asio::ip::tcp;
 
-    constexpr util::Duration idleTimeout = std::chrono::seconds(75);
-    constexpr util::Duration headTimeout = std::chrono::seconds(10);
     constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(30);
     constexpr util::Duration writeTimeout = std::chrono::seconds(60);
-    constexpr std::uint32_t headLimitBytes = 32 * 1024;
+    // Beyond the idle time that is declared, so that a request sent just inside it is not cut.
+    constexpr util::Duration idleGrace = std::chrono::milliseconds(500);
     constexpr std::size_t readAheadBytes = 4096;
     constexpr std::size_t longestTargetBytes = 8 * 1024;
     // How much of a refused request's body is read and dropped to keep the connection.
     constexpr std::size_t drainLimitBytes = 256 * 1024;
     constexpr unsigned httpVersion11 = 11;
-    // Bodies stream through in chunks; their length is not bounded.
-    constexpr std::uint64_t noBodyLimit = std::numeric_limits<std::uint64_t>::max();
     constexpr std::string_view continueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
 
     std::string_view toView(beast::string_view text) { return { text.data(), text.size() }; }
@@ -49,6 +47,14 @@
         return static_cast<std::int64_t>(std::ceil(util::toSeconds(retryAfter)));
     }
 
+    // In seconds, with a fraction where the caller understands it.
+    std::string retryAfterText(util::Duration retryAfter, bool fraction)
+    {
+        if (!fraction)
+            return std::to_string(retryAfterSeconds(retryAfter));
+        return absl::StrFormat("%.2f", util::toSeconds(retryAfter));
+    }
+
     std::string refusalBody(const Refusal& refusal, const std::string& requestId)
     {
         nlohmann::ordered_json body;
@@ -75,6 +81,7 @@
     void next(const Self& self)
     {
         relaying = false;
+        closeWatch.stop();
         exchange.reset();
         serializer.reset();
         response.reset();
@@ -82,11 +89,11 @@
         if (closing)
             return end(self);
         parser.emplace();
-        parser->header_limit(headLimitBytes);
-        parser->body_limit(noBodyLimit);
+        parser->header_limit(entry.callerLimits().headBytes);
+        parser->body_limit(entry.callerLimits().bodyBytes);
         if (buffer.size() > 0)
             return readHead(self);
-        stream.expires_after(idleTimeout);
+        stream.expires_after(entry.callerLimits().idleTime + idleGrace);
         stream.async_read_some(
             buffer.prepare(readAheadBytes), [this, self](error_code error, std::size_t count) {
                 if (error || closed)
@@ -99,7 +106,7 @@
     void readHead(const Self& self)
     {
         reading = true;
-        stream.expires_after(headTimeout);
+        stream.expires_after(entry.callerLimits().headTime + idleGrace);
         http::async_read_header(stream, buffer, *parser, [this, self](error_code error, std::size_t) {
             reading = false;
             if (closed)
@@ -121,6 +128,7 @@
         organisation = {};
         closing = true;
         const auto reason = error == http::error::header_limit ? RefusalReason::HeaderTooLarge
+            : error == http::error::body_limit                 ? RefusalReason::BodyTooLarge
                                                                : RefusalReason::MalformedRequest;
         self->refuse({ reason, RunState::NotRun, util::Duration {}, error.message() });
     }
@@ -138,7 +146,9 @@
             closing = true;
             return self->refuse(*fault);
         }
-        auto accepted = entry.accept(toHead());
+        auto head = toHead();
+        requestId = entry.requestIdOf(head);
+        auto accepted = entry.accept(std::move(head));
         if (!accepted)
             return self->refuse(accepted.error());
         organisation = accepted->context.organisation;
@@ -147,9 +157,23 @@
         identityRequired = accepted->route.identity == IdentityRule::Required;
         const bool hasBody = accepted->head.hasBody;
         exchange = std::make_shared<EntryExchange>(entry, std::move(*accepted));
+        if (!bodyDue)
+            watchCaller(self);
         std::make_shared<Relay<CallerSession, EntryExchange>>(self, exchange, hasBody)->start();
     }
 
+    // A caller that closes its connection waits for its answer no longer.
+    void watchCaller(const Self& self)
+    {
+        closeWatch.start(stream.socket(), [this, weak = std::weak_ptr<CallerSession>(self)] {
+            const auto kept = weak.lock();
+            if (!kept || !relaying)
+                return;
+            entry.logCallerGone(requestId);
+            end(kept);
+        });
+    }
+
     // What the parser lets through and a target might read in another way.
     std::optional<Refusal> framingFault()
     {
@@ -184,6 +208,7 @@
         head.hasBody = bodyDue;
         const auto length = parser->content_length();
         head.contentLength = length ? static_cast<std::int64_t>(*length) : -1;
+        head.host = std::string(toView(message[http::field::host]));
         const auto connection = toView(message[http::field::connection]);
         for (const auto& field : message) {
             const auto name = toView(field.name_string());
@@ -212,6 +237,8 @@
                 chunk.data.assign(storage.data(), storage.size() - parser->get().body().size);
                 chunk.last = parser->is_done();
                 bodyDue = !chunk.last;
+                if (!bodyDue && exchange)
+                    watchCaller(self);
                 handler(true, std::move(chunk));
             });
     }
@@ -272,7 +299,12 @@
     {
         refusalResponse.emplace();
         refusalResponse->version(httpVersion11);
-        refusalResponse->result(static_cast<unsigned>(httpStatus(refusal.reason)));
+        const bool strict = entry.parts().options.dialect.strictRefusals;
+        refusalResponse->result(
+            static_cast<unsigned>(strict ? strictHttpStatus(refusal) : httpStatus(refusal.reason)));
+        const auto& idField = entry.parts().options.dialect.requestId;
+        if (!idField.empty())
+            refusalResponse->set(idField, requestId);
         refusalResponse->set(http::field::content_type, "application/json");
         refusalResponse->set("Tarragonhaven-Request", requestId);
         refusalResponse->set("Tarragonhaven-Refusal",
@@ -280,8 +312,7 @@
         refusalResponse->set(
             "Tarragonhaven-Run", beast::string_view(name(refusal.run).data(), name(refusal.run).size()));
         if (refusal.retryAfter > util::Duration {})
-            refusalResponse->set(
-                http::field::retry_after, std::to_string(retryAfterSeconds(refusal.retryAfter)));
+            refusalResponse->set(http::field::retry_after, retryAfterText(refusal.retryAfter, strict));
         if (refusal.reason == RefusalReason::IdentityMissing)
             offerIdentity();
         closing = closing || (bodyDue && expectsContinue) || entry.stopping();
@@ -312,7 +343,7 @@
     std::string keyDigestOfRefused()
     {
         auto head = toHead();
-        const auto key = takeKey(head);
+        const auto key = takeKey(head, entry.parts().options.dialect.keyScheme);
         return key ? entry.digestOf(*key) : std::string();
     }
 
@@ -338,6 +369,7 @@
         if (std::exchange(ended, true))
             return;
         closed = true;
+        closeWatch.stop();
         error_code ignored;
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         stream.close();
@@ -371,6 +403,7 @@
     bool closing = false;
     bool closed = false;
     bool ended = false;
+    CloseWatch closeWatch;
 };
 
 CallerSession::CallerSession(Entry& entry, tcp::socket socket, EndHandler onEnd)
--- a/tarragonhaven/configuration.cc
+++ b/tarragonhaven/configuration.cc
@@ -7,6 +7,9 @@
 #include "tarragonhaven/declaration_parse.h"
 #include "tarragonhaven/declaration_write.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace tarragonhaven {
 
 namespace {
@@ -18,6 +21,17 @@
         return found == table.end() ? nullptr : found->second;
     }
 
+    std::vector<Route> patternRoutes(const std::vector<Route>& routes)
+    {
+        std::vector<Route> result;
+        std::copy_if(routes.begin(), routes.end(), std::back_inserter(result),
+            [](const Route& route) { return route.host.empty(); });
+        return result;
+    }
+
+    // The name of the one shard of declarations that are not published in shards.
+    constexpr const char* wholeShardName = "organisations";
+
 } // namespace
 
 util::Checked<Configuration::Shard> Configuration::parseShard(Text text)
@@ -48,13 +62,29 @@
     return ConfigurationPointer(std::move(configuration));
 }
 
+util::Checked<ConfigurationPointer> Configuration::declare(
+    Revision revision, Text text, Declaration declaration)
+{
+    std::map<std::string, Shard> shards;
+    shards.emplace(wholeShardName,
+        Shard { nullptr,
+            std::make_shared<const std::vector<Organisation>>(std::move(declaration.organisations)) });
+    std::shared_ptr<Configuration> configuration(
+        new Configuration(revision, std::move(text), std::move(declaration.index), std::move(shards)));
+    auto faults = configuration->fill();
+    if (!faults.empty())
+        return tl::unexpected(std::move(faults));
+    return ConfigurationPointer(std::move(configuration));
+}
+
 Configuration::Configuration(
     Revision revision, Text indexText, FleetIndex index, std::map<std::string, Shard> shards)
     : m_revision(revision)
     , m_indexText(std::move(indexText))
     , m_index(std::move(index))
     , m_shards(std::move(shards))
-    , m_routes(m_index.routes)
+    , m_routes(patternRoutes(m_index.routes))
+    , m_prefixRoutes(m_index.routes)
 {
 }
 
--- a/tarragonhaven/configuration.h
+++ b/tarragonhaven/configuration.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "tarragonhaven/declaration.h"
 #include "tarragonhaven/fleet_index.h"
 #include "tarragonhaven/organisation.h"
+#include "tarragonhaven/prefix_routes.h"
 #include "tarragonhaven/revision.h"
 #include "tarragonhaven/route_table.h"
 #include "util/error.h"
@@ -32,12 +34,17 @@
     // document is not sound, a shard is missing, or a key or an organisation stands in two shards.
     static util::Checked<std::shared_ptr<const Configuration>> assemble(
         Revision revision, Text indexText, std::map<std::string, Shard> shards);
+    // Takes declarations that were parsed elsewhere from `text`. The routes' hosts and prefixes are as
+    // declared; there are no shards to fetch.
+    static util::Checked<std::shared_ptr<const Configuration>> declare(
+        Revision revision, Text text, Declaration declaration);
     // Parses one shard.
     static util::Checked<Shard> parseShard(Text text);
 
     [[nodiscard]] Revision revision() const { return m_revision; }
     [[nodiscard]] const FleetIndex& index() const { return m_index; }
     [[nodiscard]] const RouteTable& routes() const { return m_routes; }
+    [[nodiscard]] const PrefixRoutes& prefixRoutes() const { return m_prefixRoutes; }
     [[nodiscard]] const std::map<std::string, Shard>& shards() const { return m_shards; }
     // The published text of the index or of a shard, or null.
     [[nodiscard]] Text text(const std::string& valueName) const;
@@ -66,6 +73,7 @@
     FleetIndex m_index;
     std::map<std::string, Shard> m_shards;
     RouteTable m_routes;
+    PrefixRoutes m_prefixRoutes;
     absl::flat_hash_map<std::string_view, KeyEntry> m_keys;
     absl::flat_hash_map<std::string_view, const Organisation*> m_organisations;
     std::map<std::string_view, const Service*> m_services;
--- a/tarragonhaven/control_core.h
+++ b/tarragonhaven/control_core.h
@@ -110,6 +110,9 @@
     void handle(const Endpoint& source, const ControlEnvelope& from, const IdentityVerdictMessage& message);
     void handle(const Endpoint& source, const ControlEnvelope& from, const LeavingMessage& message);
     void handle(const Endpoint& source, const ControlEnvelope& from, const TargetReportMessage& message);
+    // Messages of nodes that discover their targets; they are of no use here.
+    void handle(const Endpoint&, const ControlEnvelope&, const QuotaReportMessage&) { }
+    void handle(const Endpoint&, const ControlEnvelope&, const QuotaElsewhereMessage&) { }
 
     void take(std::monostate) { }
     void take(const RateAskRequest& request);
--- a/tarragonhaven/control_duty.cc
+++ b/tarragonhaven/control_duty.cc
@@ -1,5 +1,4 @@
-// A datagram that cannot be sent is dropped, as one that the network loses. Replies are flushed after every
-// event, so a grant reaches the traffic thread in one hop.
+// Replies are flushed after every event, so a grant reaches the traffic thread in one hop.
 
 #include "tarragonhaven/control_duty.h"
 
@@ -10,7 +9,6 @@
 namespace {
 
     using boost::system::error_code;
-    using udp = boost::asio::ip::udp;
 
     constexpr util::Duration tickInterval = std::chrono::milliseconds(10);
     constexpr std::size_t ringItems = 16384;
@@ -20,7 +18,7 @@
 ControlDuty::ControlDuty(Parts parts)
     : m_parts(std::move(parts))
     , m_core(m_parts.identity, m_clock, std::mt19937_64(m_parts.identity.incarnation))
-    , m_socket(m_io)
+    , m_socket(m_io, m_parts.identity.fleet, m_parts.identity.self, m_parts.identity.incarnation)
     , m_tickTimer(m_io)
     , m_requests(ringItems)
     , m_replies(ringItems)
@@ -42,20 +40,14 @@
 
 ControlDuty::~ControlDuty() { stop(); }
 
-std::string ControlDuty::open()
-{
-    error_code error;
-    const udp::endpoint address(boost::asio::ip::make_address(m_parts.address.address), m_parts.address.port);
-    m_socket.open(address.protocol(), error);
-    if (!error)
-        m_socket.bind(address, error);
-    return error ? "peer address (UDP): " + error.message() : std::string();
-}
+std::string ControlDuty::open() { return m_socket.open(m_parts.address); }
 
 void ControlDuty::start()
 {
     boost::asio::post(m_io, [this] {
-        receiveNext();
+        m_socket.receive([this](const Endpoint& source,
+                             const ControlEnvelope& envelope) { m_core.receive(source, envelope); },
+            [this] { flush(); });
         everyTick();
     });
     m_thread = std::thread([this] {
@@ -71,20 +63,6 @@
         m_thread.join();
 }
 
-void ControlDuty::receiveNext()
-{
-    m_socket.async_receive_from(
-        boost::asio::buffer(m_buffer), m_source, [this](error_code error, std::size_t count) {
-            if (!m_socket.is_open())
-                return;
-            const auto envelope = error ? std::nullopt : decodeControl({ m_buffer.data(), count });
-            if (envelope)
-                m_core.receive({ m_source.address().to_string(), m_source.port() }, *envelope);
-            flush();
-            receiveNext();
-        });
-}
-
 void ControlDuty::everyTick()
 {
     m_core.tick();
@@ -122,14 +100,8 @@
     }
     for (auto& news : m_core.takePeerRevisions())
         m_parts.peerRevisions.push(std::move(news));
-    const auto& identity = m_parts.identity;
-    for (auto& datagram : m_core.takeDatagrams()) {
-        const auto bytes = encodeControl(
-            { identity.fleet, identity.self, identity.incarnation, std::move(datagram.message) });
-        const udp::endpoint to(boost::asio::ip::make_address(datagram.to.address), datagram.to.port);
-        error_code ignored;
-        m_socket.send_to(boost::asio::buffer(bytes), to, 0, ignored);
-    }
+    for (auto& datagram : m_core.takeDatagrams())
+        m_socket.send(datagram.to, std::move(datagram.message));
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/control_duty.h
+++ b/tarragonhaven/control_duty.h
@@ -3,12 +3,11 @@
 #include "tarragonhaven/configuration_event.h"
 #include "tarragonhaven/control_core.h"
 #include "tarragonhaven/control_exchange.h"
+#include "tarragonhaven/datagram_socket.h"
 #include "tarragonhaven/log_channel.h"
 #include "util/bounded_ring.h"
 
-#include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 #include <string>
@@ -43,7 +42,6 @@
     [[nodiscard]] util::BoundedRing<ControlReply>& replies() { return m_replies; }
 
 private:
-    void receiveNext();
     void everyTick();
     void handleEvent(const ConfigurationEvent& event);
     void logView(const FleetView& view);
@@ -54,9 +52,7 @@
     boost::asio::io_context m_io;
     util::SystemClock m_clock;
     Core m_core;
-    boost::asio::ip::udp::socket m_socket;
-    boost::asio::ip::udp::endpoint m_source;
-    std::array<char, 2048> m_buffer {};
+    DatagramSocket m_socket;
     boost::asio::steady_timer m_tickTimer;
     util::BoundedRing<ControlRequest> m_requests;
     util::BoundedRing<ControlReply> m_replies;
--- a/tarragonhaven/control_message.h
+++ b/tarragonhaven/control_message.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/names.h"
+#include "tarragonhaven/quota_use.h"
 #include "tarragonhaven/revision.h"
 #include "tarragonhaven/target_report.h"
 
@@ -163,9 +164,25 @@
     friend bool operator==(const TargetReportMessage&, const TargetReportMessage&) = default;
 };
 
+// A node tells what it let through of organisations' requests.
+struct QuotaReportMessage {
+    std::vector<QuotaUse> uses;
+    MSGPACK_DEFINE_ARRAY(uses);
+
+    friend bool operator==(const QuotaReportMessage&, const QuotaReportMessage&) = default;
+};
+
+// Answers with what all other nodes did.
+struct QuotaElsewhereMessage {
+    std::vector<QuotaElsewhere> elsewhere;
+    MSGPACK_DEFINE_ARRAY(elsewhere);
+
+    friend bool operator==(const QuotaElsewhereMessage&, const QuotaElsewhereMessage&) = default;
+};
+
 using ControlMessage = std::variant<PingMessage, PongMessage, TokenAskMessage, TokenGrantMessage,
     TokenReturnMessage, IdentityBeginMessage, IdentityEndMessage, IdentityVerdictMessage, LeavingMessage,
-    TargetReportMessage>;
+    TargetReportMessage, QuotaReportMessage, QuotaElsewhereMessage>;
 
 // A message with its sender.
 struct ControlEnvelope {
--- /dev/null
+++ b/tarragonhaven/directory.cc
@@ -0,0 +1,48 @@
+#include "tarragonhaven/directory.h"
+
+namespace tarragonhaven {
+
+Directory::Directory(ByService targets, std::uint16_t peerPort)
+    : m_targets(std::move(targets))
+{
+    for (const auto& [service, list] : m_targets) {
+        for (const auto& target : list) {
+            Instance instance;
+            instance.name = target.instance;
+            instance.dataCentre = target.dataCentre;
+            instance.peerAddress = { target.address.address, peerPort };
+            m_instances.emplace(target.instance, instance);
+        }
+    }
+}
+
+DirectoryPointer Directory::declaredBy(const Configuration& configuration)
+{
+    auto directory = std::make_shared<Directory>();
+    for (const auto& instance : configuration.index().instances)
+        directory->m_instances.emplace(instance.name, instance);
+    for (const auto& service : configuration.index().services) {
+        auto& list = directory->m_targets[service.name];
+        for (auto target : service.targets) {
+            const auto* instance = configuration.instance(target.instance);
+            target.dataCentre = instance ? instance->dataCentre : DataCentreName {};
+            list.push_back(std::move(target));
+        }
+    }
+    return directory;
+}
+
+const std::vector<Target>& Directory::targetsOf(const ServiceName& service) const
+{
+    static const std::vector<Target> none;
+    const auto found = m_targets.find(service);
+    return found == m_targets.end() ? none : found->second;
+}
+
+const Instance* Directory::instance(const InstanceName& name) const
+{
+    const auto found = m_instances.find(name);
+    return found == m_instances.end() ? nullptr : &found->second;
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/directory_tracker.cc
@@ -0,0 +1,121 @@
+#include "tarragonhaven/directory_tracker.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace tarragonhaven {
+
+namespace {
+
+    std::tuple<std::int64_t, std::uint64_t> ageOf(const TargetRecord& record)
+    {
+        return { record.target.birth, record.sequence };
+    }
+
+} // namespace
+
+bool DirectoryTracker::inGrace(util::Time now) const
+{
+    return m_sourceLost && now - *m_sourceLost < m_options.outageGrace;
+}
+
+void DirectoryTracker::noteRecord(const TargetRecord& record, util::Time now)
+{
+    auto& entry = m_entries[record.target.name];
+    const bool known = !entry.record.target.name.text.empty();
+    if (known && entry.record.revision >= record.revision)
+        return;
+    if (known && ageOf(record) < ageOf(entry.record)) {
+        // A late write of an earlier start or state: only its revision counts.
+        entry.record.revision = record.revision;
+        return;
+    }
+    const bool sameState = known && entry.record.target == record.target
+        && entry.record.service == record.service && !entry.dropAt;
+    m_changed = m_changed || !sameState;
+    entry.record = record;
+    entry.coldUntil = record.coldLeft > util::Duration {} ? now + record.coldLeft : util::Time {};
+    entry.dropAt.reset();
+}
+
+void DirectoryTracker::noteRemoved(const TargetName& name, Revision revision, util::Time now)
+{
+    const auto found = m_entries.find(name);
+    if (found == m_entries.end() || found->second.record.revision >= revision)
+        return;
+    if (inGrace(now)) {
+        if (!found->second.dropAt)
+            found->second.dropAt = *m_sourceLost + m_options.outageGrace;
+        return;
+    }
+    m_entries.erase(found);
+    m_changed = true;
+}
+
+void DirectoryTracker::noteListing(const std::vector<TargetRecord>& records, Revision asOf, util::Time now)
+{
+    std::set<TargetName> listed;
+    for (const auto& record : records) {
+        listed.insert(record.target.name);
+        noteRecord(record, now);
+    }
+    std::vector<TargetName> missing;
+    for (const auto& [name, entry] : m_entries) {
+        if (!listed.contains(name) && entry.record.revision <= asOf)
+            missing.push_back(name);
+    }
+    for (const auto& name : missing)
+        noteRemoved(name, asOf + 1, now);
+    m_changed = m_changed || !m_complete;
+    m_complete = true;
+}
+
+void DirectoryTracker::advance(util::Time now)
+{
+    const auto dropped = std::erase_if(m_entries, [now](const auto& item) {
+        const auto& dropAt = item.second.dropAt;
+        return dropAt && now >= *dropAt;
+    });
+    m_changed = m_changed || dropped > 0;
+}
+
+bool DirectoryTracker::pending() const
+{
+    return std::any_of(
+        m_entries.begin(), m_entries.end(), [](const auto& item) { return item.second.dropAt.has_value(); });
+}
+
+DirectoryPointer DirectoryTracker::takeChanged()
+{
+    if (!m_changed)
+        return nullptr;
+    m_changed = false;
+    std::map<Endpoint, const Entry*> latest;
+    for (const auto& [name, entry] : m_entries) {
+        auto& holder = latest[entry.record.target.address];
+        const auto rank = [](const Entry& candidate) {
+            return std::make_tuple(candidate.record.target.birth, candidate.record.revision);
+        };
+        if (!holder || rank(*holder) < rank(entry))
+            holder = &entry;
+    }
+    Directory::ByService targets;
+    for (const auto& [name, entry] : m_entries) {
+        auto target = entry.record.target;
+        target.coldUntil = entry.coldUntil;
+        target.leaving = target.leaving || latest[target.address] != &entry;
+        targets[entry.record.service].push_back(std::move(target));
+    }
+    return std::make_shared<const Directory>(std::move(targets), m_options.peerPort);
+}
+
+std::vector<TargetRecord> DirectoryTracker::records() const
+{
+    std::vector<TargetRecord> records;
+    for (const auto& [name, entry] : m_entries)
+        records.push_back(entry.record);
+    return records;
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/discovery_duty.h
@@ -0,0 +1,226 @@
+#pragma once
+
+#include "tarragonhaven/configuration_holder.h"
+#include "tarragonhaven/directory_tracker.h"
+#include "tarragonhaven/discovery_event.h"
+#include "tarragonhaven/log_channel.h"
+#include "tarragonhaven/record_store.h"
+#include "util/bounded_ring.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <random>
+#include <thread>
+#include <utility>
+
+namespace tarragonhaven {
+
+// The thread that learns declarations and targets from a store: it lists everything once, then watches for
+// changes, and lists again when the history of changes is gone. Declarations are accepted whole or not at
+// all, and only newer ones.
+template <RecordStore Store> class DiscoveryDuty {
+public:
+    using EventRing = util::BoundedRing<DiscoveryEvent>;
+
+    // `makeStore` gets the io_context of the thread.
+    template <typename MakeStore>
+    DiscoveryDuty(MakeStore makeStore, DirectoryOptions options, LogChannel& log)
+        : m_log(log)
+        , m_store(makeStore(m_io))
+        , m_tracker(options)
+        , m_events(ringEvents)
+        , m_timer(m_io)
+        , m_graceTimer(m_io)
+        , m_random(std::random_device()())
+    {
+    }
+    ~DiscoveryDuty() { stop(); }
+    DiscoveryDuty(const DiscoveryDuty&) = delete;
+    DiscoveryDuty& operator=(const DiscoveryDuty&) = delete;
+
+    [[nodiscard]] EventRing& events() { return m_events; }
+
+    void start()
+    {
+        boost::asio::post(m_io, [this] { list(); });
+        m_thread = std::thread([this] {
+            const auto work = boost::asio::make_work_guard(m_io);
+            m_io.run();
+        });
+    }
+
+    void stop()
+    {
+        m_io.stop();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+private:
+    static constexpr std::size_t ringEvents = 256;
+    // How long the store may keep a watch waiting; a silent connection shows after it.
+    static constexpr util::Duration watchWait = std::chrono::seconds(10);
+    // Changes that come within this time are read together, since each read has its price.
+    static constexpr util::Duration gatherTime = std::chrono::milliseconds(120);
+    static constexpr util::Duration retryLow = std::chrono::milliseconds(250);
+    static constexpr util::Duration retryHigh = std::chrono::milliseconds(750);
+    // After a refusal for too many reads.
+    static constexpr util::Duration throttledLow = std::chrono::milliseconds(700);
+    static constexpr util::Duration throttledHigh = std::chrono::milliseconds(2000);
+
+    using Call = void (DiscoveryDuty::*)();
+
+    void after(util::Duration low, util::Duration high, Call call)
+    {
+        const auto delay = std::uniform_int_distribution<std::int64_t>(low.count(), high.count())(m_random);
+        m_timer.expires_after(std::chrono::nanoseconds(delay));
+        m_timer.async_wait([this, call](boost::system::error_code error) {
+            if (!error)
+                std::invoke(call, this);
+        });
+    }
+
+    void list()
+    {
+        m_store.list([this](tl::expected<RecordListing, StoreFault> listing) {
+            if (!listing)
+                return failed(listing.error(), &DiscoveryDuty::list);
+            answered();
+            for (const auto& rejected : listing->rejected)
+                noteRejected(rejected);
+            if (listing->declarations)
+                take(*listing->declarations);
+            m_tracker.noteListing(listing->targets, listing->asOf, util::BootClock::now());
+            m_asOf = listing->asOf;
+            publishDirectory();
+            watch();
+        });
+    }
+
+    void watch()
+    {
+        m_store.watch(m_asOf, watchWait, [this](tl::expected<RecordChanges, StoreFault> changes) {
+            if (!changes)
+                return failed(changes.error(),
+                    changes.error().kind == StoreFault::Kind::HistoryGone ? &DiscoveryDuty::list
+                                                                          : &DiscoveryDuty::watch);
+            answered();
+            for (const auto& change : changes->changes)
+                std::visit([this](const auto& item) { this->take(item); }, change);
+            m_asOf = std::max(m_asOf, changes->asOf);
+            publishDirectory();
+            after(gatherTime, gatherTime, &DiscoveryDuty::watch);
+        });
+    }
+
+    void failed(const StoreFault& fault, Call again)
+    {
+        if (fault.kind == StoreFault::Kind::HistoryGone) {
+            m_log.write(LogLevel::Info, "dependency",
+                { { "name", "store" }, { "event", "history-gone" }, { "asOf", m_asOf } });
+            return after(util::Duration {}, retryLow, again);
+        }
+        m_tracker.noteSourceLost(util::BootClock::now());
+        if (std::exchange(m_reachable, false))
+            m_log.write(LogLevel::Warning, "dependency",
+                { { "name", "store" }, { "event", "lost" }, { "reason", fault.detail }, { "asOf", m_asOf } });
+        if (fault.kind == StoreFault::Kind::Throttled)
+            return after(throttledLow, throttledHigh, again);
+        after(retryLow, retryHigh, again);
+    }
+
+    void answered()
+    {
+        if (!std::exchange(m_reachable, true))
+            m_log.write(LogLevel::Info, "dependency",
+                { { "name", "store" }, { "event", "reached" }, { "asOf", m_asOf } });
+    }
+
+    void take(const DeclaredDocument& document)
+    {
+        if (!m_holder.wants(document.revision))
+            return;
+        auto configuration = Configuration::declare(document.revision, document.text, document.declaration);
+        if (!configuration) {
+            m_holder.noteRefused(document.revision);
+            const auto& first = configuration.error().front();
+            m_log.write(LogLevel::Error, "configuration",
+                { { "event", "refused" }, { "revision", document.revision }, { "path", first.path },
+                    { "reason", first.reason }, { "inForce", m_holder.revision() } });
+            return;
+        }
+        m_holder.offer(*configuration);
+        m_log.write(LogLevel::Info, "configuration",
+            { { "event", "accepted" }, { "revision", document.revision }, { "from", "store" },
+                { "organisations", (*configuration)->organisationCount() },
+                { "routes", (*configuration)->index().routes.size() } });
+        m_events.push(DeclarationsAccepted { *configuration });
+    }
+
+    void take(const TargetRecord& record) { m_tracker.noteRecord(record, util::BootClock::now()); }
+
+    void take(const RemovedRecord& removed)
+    {
+        m_tracker.noteRemoved(removed.name, removed.revision, util::BootClock::now());
+    }
+
+    void take(const RejectedRecord& rejected) { noteRejected(rejected); }
+
+    void noteRejected(const RejectedRecord& rejected)
+    {
+        m_log.write(LogLevel::Warning, "directory",
+            { { "event", "record-rejected" }, { "record", rejected.name }, { "reason", rejected.reason } });
+    }
+
+    void publishDirectory()
+    {
+        m_tracker.advance(util::BootClock::now());
+        const auto changed = m_tracker.takeChanged();
+        if (changed) {
+            logDirectory(*changed);
+            m_events.push(DirectoryChanged { changed });
+        }
+        if (m_tracker.pending())
+            awaitGrace();
+    }
+
+    void awaitGrace()
+    {
+        m_graceTimer.expires_after(gatherTime);
+        m_graceTimer.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                publishDirectory();
+        });
+    }
+
+    void logDirectory(const Directory& directory)
+    {
+        std::size_t targets = 0;
+        std::size_t leaving = 0;
+        for (const auto& [service, list] : directory.targets()) {
+            targets += list.size();
+            for (const auto& target : list)
+                leaving += target.leaving ? 1 : 0;
+        }
+        m_log.write(LogLevel::Info, "directory",
+            { { "event", "changed" }, { "asOf", m_asOf }, { "targets", targets }, { "leaving", leaving } });
+    }
+
+    LogChannel& m_log;
+    boost::asio::io_context m_io;
+    Store m_store;
+    ConfigurationHolder m_holder;
+    DirectoryTracker m_tracker;
+    EventRing m_events;
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_graceTimer;
+    std::mt19937_64 m_random;
+    Revision m_asOf = 0;
+    bool m_reachable = false;
+    std::thread m_thread;
+};
+
+} // namespace tarragonhaven
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -2,8 +2,12 @@
 
 #include "tarragonhaven/http_fields.h"
 #include "util/sha256.h"
+#include "util/text.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <array>
 
 namespace tarragonhaven {
 
@@ -22,13 +26,9 @@
 
     std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
-    void dropOwnFields(RequestHead& head)
-    {
-        std::erase_if(head.fields, [](const HeaderField& field) {
-            return sameFieldName(
-                std::string_view(field.name).substr(0, ownFieldPrefix.size()), ownFieldPrefix);
-        });
-    }
+    constexpr std::size_t longestRequestId = 200;
+    // How long a target is avoided at least, so that a run of requests does not find it closed one by one.
+    constexpr util::Duration shortestAvoidance = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -39,25 +39,51 @@
 {
 }
 
-void Entry::apply(ConfigurationPointer configuration)
+void Entry::apply(ConfigurationPointer configuration, DirectoryPointer directory)
 {
     m_configuration = std::move(configuration);
+    m_directory = std::move(directory);
+    if (m_configuration && m_directory)
+        updateServices();
+}
+
+void Entry::updateServices()
+{
     std::set<ServiceName> declared;
     m_serviceOfTarget.clear();
-    for (const auto& service : m_configuration->index().services) {
+    for (auto service : m_configuration->index().services) {
         declared.insert(service.name);
+        service.targets = m_directory->targetsOf(service.name);
         for (const auto& target : service.targets)
             m_serviceOfTarget.emplace(target.name, service.name);
         const auto found = m_services.find(service.name);
         if (found != m_services.end())
             found->second.update(service);
         else
-            m_services.emplace(service.name, ServiceHealth(service));
+            m_services.emplace(service.name, ServiceHealth(service, m_parts.options.standing));
     }
     std::erase_if(m_services, [&declared](const auto& item) { return !declared.contains(item.first); });
     markLeaving(m_leaving);
 }
 
+RetryBudget& Entry::retryBudget(const ServiceName& service)
+{
+    return m_retryBudgets.try_emplace(service, m_parts.options.retryBudget).first->second;
+}
+
+void Entry::setRetryBudget(const RetryBudgetOptions& options)
+{
+    m_parts.options.retryBudget = options;
+    for (auto& [service, budget] : m_retryBudgets)
+        budget.update(options);
+}
+
+const CallerLimits& Entry::callerLimits() const
+{
+    static const CallerLimits unknown;
+    return m_configuration ? m_configuration->index().callerLimits : unknown;
+}
+
 void Entry::markLeaving(const std::set<InstanceName>& instances)
 {
     m_leaving = instances;
@@ -96,9 +122,23 @@
             { "run", name(refusal.run) }, { "detail", refusal.detail } });
 }
 
+void Entry::logCallerGone(const std::string& requestId)
+{
+    m_parts.log.write(LogLevel::Info, "caller-gone", { { "request", requestId } });
+}
+
+std::string Entry::requestIdOf(const RequestHead& head)
+{
+    const auto& field = m_parts.options.dialect.requestId;
+    const auto id = field.empty() ? std::string_view {} : fieldValue(head.fields, field);
+    return id.empty() || id.size() > longestRequestId ? m_ids.next() : std::string(id);
+}
+
 tl::expected<const Route*, Refusal> Entry::findRoute(const RequestHead& head) const
 {
     const auto path = pathOf(head.target);
+    if (const auto* route = m_configuration->prefixRoutes().find(head.host, path))
+        return route;
     if (const auto* route = m_configuration->routes().find(head.method, path))
         return route;
     const bool known = m_configuration->routes().knowsPath(path);
@@ -120,17 +160,48 @@
     return organisation;
 }
 
+// Fields that the system itself writes are not taken from callers.
+void Entry::dropOwnFields(RequestHead& head) const
+{
+    const auto& dialect = m_parts.options.dialect;
+    const std::array<std::string_view, 4> written { dialect.deadline, dialect.expectedTarget,
+        dialect.organisation, dialect.callerService };
+    std::erase_if(head.fields, [&written](const HeaderField& field) {
+        const auto prefix = std::string_view(field.name).substr(0, ownFieldPrefix.size());
+        return sameFieldName(prefix, ownFieldPrefix)
+            || std::any_of(written.begin(), written.end(),
+                [&field](std::string_view name) { return sameFieldName(field.name, name); });
+    });
+}
+
+util::Time Entry::deadlineOf(const RequestHead& head, const Route& route) const
+{
+    const auto now = util::BootClock::now();
+    std::int64_t milliseconds = 0;
+    const auto& name = m_parts.options.dialect.deadline;
+    const auto value = name.empty() ? std::string_view {} : fieldValue(head.fields, name);
+    if (!absl::SimpleAtoi(util::toAbsl(value), &milliseconds) || milliseconds < 0)
+        return now + route.deadline;
+    return now + std::min<util::Duration>(route.deadline, std::chrono::milliseconds(milliseconds));
+}
+
+int Entry::rankOf(const Route& route, const Organisation* organisation) const
+{
+    if (!organisation && m_parts.options.internalFirst)
+        return -1;
+    return organisation && organisation->priority ? *organisation->priority : route.priority;
+}
+
 tl::expected<AcceptedRequest, Refusal> Entry::accept(RequestHead head)
 {
-    if (m_stopping)
+    if (m_stopping && !m_parts.options.serveWhileStopping)
         return tl::unexpected(refusal(RefusalReason::Stopping, notReadyRetryAfter));
     if (!m_ready || !m_configuration)
         return tl::unexpected(refusal(RefusalReason::NotReady, notReadyRetryAfter));
     if (holdsKey(head.target))
         return tl::unexpected(refusal(RefusalReason::KeyInQuery));
     AcceptedRequest accepted;
-    const auto key = takeKey(head);
-    dropOwnFields(head);
+    const auto key = takeKey(head, m_parts.options.dialect.keyScheme);
     const auto route = findRoute(head);
     if (!route)
         return tl::unexpected(route.error());
@@ -140,9 +211,13 @@
     accepted.route = **route;
     accepted.identity = std::string(fieldValue(head.fields, identityField));
     accepted.context.organisation = *organisation ? (*organisation)->name : OrganisationName {};
-    accepted.context.service = accepted.route.service;
+    accepted.context.service = m_splitter.next(accepted.route);
     accepted.context.idempotent = accepted.route.idempotent;
-    accepted.context.deadline = util::BootClock::now() + accepted.route.deadline;
+    accepted.context.deadline = deadlineOf(head, accepted.route);
+    accepted.context.deadlineCoversBody = m_parts.options.deadlineCoversBody;
+    accepted.context.callerService = m_parts.options.callerService;
+    accepted.context.rank = rankOf(accepted.route, *organisation);
+    dropOwnFields(head);
     accepted.head = std::move(head);
     if (accepted.identity.size() > maximumIdentityLength)
         return tl::unexpected(refusal(RefusalReason::IdentityMalformed));
@@ -155,7 +230,7 @@
 
 bool Entry::stillAccepted(const std::string& keyDigest) const
 {
-    if (keyDigest.empty())
+    if (keyDigest.empty() || !m_parts.options.endAnswersOfWithdrawnKeys)
         return true;
     return m_keysFresh && m_configuration->organisationOfKey(keyDigest, util::wallSeconds()) != nullptr;
 }
@@ -166,16 +241,35 @@
     return found == m_services.end() ? nullptr : &found->second;
 }
 
-TargetChoice Entry::choose(const ServiceName& service, const ChoiceRequest& request)
+int Entry::distanceTo(const Target& target) const
+{
+    if (m_parts.options.preferOwnInstance && target.instance == m_parts.self)
+        return 0;
+    return target.dataCentre == m_parts.dataCentre ? 1 : 2;
+}
+
+TargetChoice Entry::choose(const ServiceName& service, ChoiceRequest request)
 {
     const auto* health = this->health(service);
     if (!health)
         return { nullptr, {}, "service not declared" };
-    const auto isLocal = [this](const Target& target) {
-        const auto* instance = m_configuration->instance(target.instance);
-        return instance && instance->dataCentre == m_parts.dataCentre;
-    };
-    return chooseTarget(health->views(util::BootClock::now()), request, isLocal, m_random);
+    const auto now = util::BootClock::now();
+    const auto views = health->views(now);
+    const auto distance = [this](const Target& target) { return distanceTo(target); };
+    std::erase_if(m_avoided, [now](const auto& item) { return item.second <= now; });
+    if (m_avoided.empty())
+        return chooseTarget(views, request, distance, m_random);
+    auto narrow = request;
+    for (const auto& [target, until] : m_avoided)
+        narrow.excluded.insert(target);
+    const auto choice = chooseTarget(views, narrow, distance, m_random);
+    return choice.target ? choice : chooseTarget(views, request, distance, m_random);
+}
+
+void Entry::avoid(const TargetName& target, util::Duration time)
+{
+    auto& until = m_avoided[target];
+    until = std::max(until, util::BootClock::now() + std::max(time, shortestAvoidance));
 }
 
 void Entry::noteReport(const TargetName& target, const TargetReport& report)
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -2,6 +2,8 @@
 
 #include "tarragonhaven/admission.h"
 #include "tarragonhaven/configuration.h"
+#include "tarragonhaven/directory.h"
+#include "tarragonhaven/entry_options.h"
 #include "tarragonhaven/guard.h"
 #include "tarragonhaven/key_filter.h"
 #include "tarragonhaven/log_channel.h"
@@ -9,6 +11,7 @@
 #include "tarragonhaven/request_context.h"
 #include "tarragonhaven/request_id.h"
 #include "tarragonhaven/retry_budget.h"
+#include "tarragonhaven/route_splitter.h"
 #include "tarragonhaven/service_health.h"
 #include "tarragonhaven/target_chooser.h"
 #include "tarragonhaven/traffic_metrics.h"
@@ -48,11 +51,14 @@
         InstanceName self;
         DataCentreName dataCentre;
         std::uint64_t incarnation = 0;
+        EntryOptions options;
     };
 
     explicit Entry(Parts parts);
 
-    void apply(ConfigurationPointer configuration);
+    // Takes over declarations and the targets that serve them; either may be the one in force before. Null
+    // stands for none yet.
+    void apply(ConfigurationPointer configuration, DirectoryPointer directory);
     // Marks instances that leave, as the platform's list or they themselves tell.
     void markLeaving(const std::set<InstanceName>& instances);
     // Whether keys may be accepted: false while a withdrawal may have been missed.
@@ -67,10 +73,15 @@
     // Whether a key that was accepted before still is.
     [[nodiscard]] bool stillAccepted(const std::string& keyDigest) const;
     [[nodiscard]] static std::string digestOf(const PresentedKey& key);
+    // The id of a request: the caller's, where the dialect has one, else a new one.
+    [[nodiscard]] std::string requestIdOf(const RequestHead& head);
     [[nodiscard]] std::string nextRequestId() { return m_ids.next(); }
+    [[nodiscard]] const CallerLimits& callerLimits() const;
 
     ServiceHealth* health(const ServiceName& service);
-    TargetChoice choose(const ServiceName& service, const ChoiceRequest& request);
+    TargetChoice choose(const ServiceName& service, ChoiceRequest request);
+    // Leaves a target out of choices for a while, when there are others.
+    void avoid(const TargetName& target, util::Duration time);
     // Takes in what a guard tells of its target unasked.
     void noteReport(const TargetName& target, const TargetReport& report);
     // Tells the service's health that a request waits for a target's answer, until endWaiting() with the
@@ -79,13 +90,17 @@
     void endWaiting(std::uint64_t number);
     [[nodiscard]] const Parts& parts() const { return m_parts; }
     [[nodiscard]] const ConfigurationPointer& configuration() const { return m_configuration; }
+    [[nodiscard]] const DirectoryPointer& directory() const { return m_directory; }
     [[nodiscard]] const std::map<ServiceName, ServiceHealth>& services() const { return m_services; }
     [[nodiscard]] bool stopping() const { return m_stopping; }
-    [[nodiscard]] RetryBudget& retryBudget(const ServiceName& service) { return m_retryBudgets[service]; }
+    [[nodiscard]] RetryBudget& retryBudget(const ServiceName& service);
+    void setRetryBudget(const RetryBudgetOptions& options);
 
     void logRefusal(
         const std::string& requestId, const OrganisationName& organisation, const Refusal& refusal);
 
+    void logCallerGone(const std::string& requestId);
+
 private:
     struct WaitingRequest {
         ServiceName service;
@@ -95,14 +110,23 @@
     };
 
     void noteWaitingAges(util::Time now);
+    void updateServices();
+    [[nodiscard]] util::Time deadlineOf(const RequestHead& head, const Route& route) const;
+    void dropOwnFields(RequestHead& head) const;
+    [[nodiscard]] int rankOf(const Route& route, const Organisation* organisation) const;
     tl::expected<const Route*, Refusal> findRoute(const RequestHead& head) const;
     tl::expected<const Organisation*, Refusal> findOrganisation(
         const Route& route, const std::optional<PresentedKey>& key, std::string& digest) const;
+    [[nodiscard]] int distanceTo(const Target& target) const;
     void logEjection(const ServiceName& service, const EjectionDecision& decision);
 
     Parts m_parts;
     ConfigurationPointer m_configuration;
+    DirectoryPointer m_directory;
+    RouteSplitter m_splitter;
     std::map<ServiceName, ServiceHealth> m_services;
+    // Targets that are left out of choices before the time given.
+    std::map<TargetName, util::Time> m_avoided;
     std::map<TargetName, ServiceName> m_serviceOfTarget;
     std::map<ServiceName, RetryBudget> m_retryBudgets;
     std::map<std::uint64_t, WaitingRequest> m_waiting;
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -5,21 +5,32 @@
 
 #include "util/check.h"
 
+#include <boost/asio/post.hpp>
 #include <utility>
 
 namespace tarragonhaven {
 
 namespace {
 
-    constexpr std::size_t maximumTries = 3;
-    constexpr int unavailableStatus = 503;
+    // Refusals by guards cost a hop each, so a request that nobody takes gives up after this many.
+    constexpr int mostTries = 8;
+    constexpr std::size_t keptBodyBytes = 64 * 1024;
+    constexpr int firstServerErrorStatus = 500;
     constexpr util::Duration noTargetRetryAfter = std::chrono::seconds(1);
+    // A try that has less time left than this reaches no target.
+    constexpr util::Duration shortestTry = std::chrono::milliseconds(20);
 
     IdentityOutcome outcomeOf(RunState run)
     {
         return run == RunState::NotRun ? IdentityOutcome::NotRun : IdentityOutcome::Unknown;
     }
 
+    // Whether the target saw the request, so that trying again is a retry for it.
+    bool reachedTarget(const Refusal& refusal)
+    {
+        return refusal.run != RunState::NotRun || refusal.reason == RefusalReason::TargetShed;
+    }
+
 } // namespace
 
 EntryExchange::EntryExchange(Entry& entry, AcceptedRequest request)
@@ -53,14 +64,33 @@
         });
 }
 
+// Targets with a free slot are looked for first; when none is found in a few tries, the request waits at the
+// one that seems the least loaded.
+TargetChoice EntryExchange::choose()
+{
+    const auto& options = m_entry.parts().options;
+    ChoiceRequest request { m_request.context.idempotent, m_failed, options.spillLoad };
+    const bool quick = static_cast<int>(m_full.size()) < options.quickRefusals;
+    m_request.context.mayQueue = !quick;
+    if (quick) {
+        request.excluded.insert(m_full.begin(), m_full.end());
+        const auto choice = m_entry.choose(m_request.context.service, request);
+        if (choice.target)
+            return choice;
+        request.excluded = m_failed;
+        m_request.context.mayQueue = true;
+    }
+    request.leastLoaded = options.quickRefusals > 0;
+    return m_entry.choose(m_request.context.service, request);
+}
+
 void EntryExchange::tryTarget(OutcomeHandler<void> handler)
 {
-    const auto choice = m_entry.choose(m_request.context.service, { m_request.context.idempotent, m_tried });
+    const auto choice = choose();
     logChoice(choice);
     if (!choice.target || !makeAttempt(*choice.target)) {
-        return handler(
-            tl::unexpected(finalRefusal({ RefusalReason::NoTarget, RunState::NotRun, noTargetRetryAfter,
-                std::string(choice.target ? "its instance is not declared" : choice.reason) })));
+        return handler(tl::unexpected(finalRefusal({ RefusalReason::NoTarget, RunState::NotRun,
+            noTargetRetryAfter, std::string(choice.target ? "its instance is not known" : choice.reason) })));
     }
     m_waiting = m_entry.beginWaiting(m_request.context.service, m_target);
     onAttempt([&](auto& attempt) {
@@ -72,7 +102,7 @@
 bool EntryExchange::makeAttempt(const Target& target)
 {
     m_target = target.name;
-    m_tried.insert(target.name);
+    ++m_tries;
     const auto& parts = m_entry.parts();
     if (target.instance == parts.self) {
         auto guarded = parts.guard.find(target.name);
@@ -81,7 +111,7 @@
         m_attempt = std::make_shared<GuardExchange>(std::move(guarded), m_request.context, m_request.head);
         return true;
     }
-    const auto* instance = m_entry.configuration()->instance(target.instance);
+    const auto* instance = m_entry.directory()->instance(target.instance);
     if (!instance)
         return false;
     m_attempt = std::make_shared<PeerExchange>(parts.peers, *instance, target.name, m_request.context,
@@ -94,14 +124,28 @@
 
 void EntryExchange::logChoice(const TargetChoice& choice)
 {
+    auto& log = m_entry.parts().log;
+    if (!log.enabled(LogLevel::Info))
+        return;
     auto alternatives = nlohmann::ordered_json::array();
     for (const auto& alternative : choice.alternatives)
         alternatives.push_back({ { "target", alternative.target.text }, { "cost", alternative.cost } });
-    m_entry.parts().log.write(LogLevel::Info, "route",
+    log.write(LogLevel::Info, "route",
         { { "request", m_request.context.requestId }, { "organisation", m_request.context.organisation.text },
             { "route", m_request.route.name.text }, { "service", m_request.context.service.text },
-            { "try", m_tried.size() + 1 }, { "target", choice.target ? choice.target->name.text : "" },
-            { "alternatives", alternatives }, { "reason", choice.reason } });
+            { "revision", m_entry.configuration()->revision() }, { "try", m_tries + 1 },
+            { "target", choice.target ? choice.target->name.text : "" },
+            { "mayQueue", m_request.context.mayQueue }, { "alternatives", alternatives },
+            { "reason", choice.reason } });
+}
+
+void EntryExchange::logAnswer(int status)
+{
+    const auto took = util::BootClock::now() - m_started;
+    m_entry.parts().log.write(LogLevel::Info, "answer",
+        { { "request", m_request.context.requestId }, { "target", m_target.text }, { "status", status },
+            { "tries", m_tries },
+            { "ms", std::chrono::duration_cast<std::chrono::milliseconds>(took).count() } });
 }
 
 template <typename Call> void EntryExchange::onAttempt(Call call)
@@ -125,32 +169,58 @@
         noteReport(m_target, (*local)->report());
 }
 
-bool EntryExchange::mayTryAgain(RunState run)
+// Whether the body can be sent again: none of it was taken from the caller, or all of it is here.
+bool EntryExchange::bodyKept() const { return !m_sent || (!m_sentBody.empty() && m_sentBody.back().last); }
+
+bool EntryExchange::mayTryAgain(const Refusal& refusal)
 {
-    const bool safe = run == RunState::NotRun || (m_request.context.idempotent && !m_request.head.hasBody);
-    const bool bodyKept = !m_request.head.hasBody || !m_sent;
-    const bool inTime = util::BootClock::now() < m_request.context.deadline;
-    if (!safe || !bodyKept || !inTime || m_tried.size() >= maximumTries)
+    const auto now = util::BootClock::now();
+    const bool safe = refusal.run == RunState::NotRun || m_request.context.idempotent;
+    const bool inTime = now + shortestTry < m_request.context.deadline;
+    if (m_cancelled || !safe || !bodyKept() || !inTime || m_tries >= mostTries)
+        return false;
+    if (m_runs >= m_request.route.attempts)
         return false;
-    if (!m_entry.retryBudget(m_request.context.service).takeRetry())
+    if (!reachedTarget(refusal))
+        return true;
+    if (!m_entry.retryBudget(m_request.context.service).takeRetry(now))
         return false;
     m_entry.parts().metrics.noteRetry();
     return true;
 }
 
-void EntryExchange::opened(Outcome<void> opened, const OutcomeHandler<void>& handler)
+// Notes why a try failed, for the tries that follow and for other requests.
+void EntryExchange::noteRefusal(const Refusal& refusal)
 {
-    if (opened)
-        return handler({});
-    attemptEnded();
-    const auto refusal = opened.error();
+    m_entry.parts().log.write(LogLevel::Info, "try-failed",
+        { { "request", m_request.context.requestId }, { "target", m_target.text }, { "try", m_tries },
+            { "reason", name(refusal.reason) }, { "run", name(refusal.run) }, { "detail", refusal.detail } });
+    if (refusal.reason == RefusalReason::NoFreeSlot) {
+        m_full.insert(m_target);
+        return;
+    }
+    m_failed.insert(m_target);
     if (refusal.reason == RefusalReason::PeerUnreachable) {
         if (auto* health = m_entry.health(m_request.context.service))
             health->notePathFailure(m_target);
     }
-    if (mayTryAgain(refusal.run))
+    if (refusal.reason == RefusalReason::TargetSuspect || refusal.reason == RefusalReason::PeerUnreachable)
+        m_entry.avoid(m_target, refusal.retryAfter);
+    if (refusal.run == RunState::NotRun)
+        return;
+    ++m_runs;
+    m_unknown = refusal;
+}
+
+void EntryExchange::opened(Outcome<void> opened, const OutcomeHandler<void>& handler)
+{
+    if (opened)
+        return handler({});
+    attemptEnded();
+    noteRefusal(opened.error());
+    if (mayTryAgain(opened.error()))
         return tryTarget(handler);
-    handler(tl::unexpected(finalRefusal(refusal)));
+    handler(tl::unexpected(finalRefusal(opened.error())));
 }
 
 Refusal EntryExchange::finalRefusal(Refusal refusal)
@@ -166,6 +236,11 @@
 void EntryExchange::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
 {
     m_sent = true;
+    m_sentBytes += chunk.data.size();
+    if (m_sentBytes <= keptBodyBytes)
+        m_sentBody.push_back(chunk);
+    else
+        m_sentBody.clear();
     onAttempt([&](auto& attempt) { attempt.writeBody(std::move(chunk), std::move(handler)); });
 }
 
@@ -180,35 +255,109 @@
 void EntryExchange::headRead(Outcome<ResponseHead> head, const OutcomeHandler<ResponseHead>& handler)
 {
     attemptEnded();
-    const bool shed = head && head->status == unavailableStatus && m_request.context.idempotent;
-    const auto run = head ? RunState::Unknown : head.error().run;
-    if (!head && run != RunState::NotRun)
-        m_unknown = head.error();
-    if (shed)
-        m_unknown = Refusal { RefusalReason::TargetFailed, RunState::Unknown, noTargetRetryAfter,
-            "shed by the target" };
-    if ((!head || shed) && mayTryAgain(run))
-        return tryAgain(handler);
     if (!head)
-        return handler(tl::unexpected(finalRefusal(head.error())));
-    settle(IdentityOutcome::Completed, head->status);
+        return attemptFailed(head.error(), handler);
+    const auto limit = m_entry.parts().options.bufferedAnswerBytes;
+    const bool fits = head->contentLength <= static_cast<std::int64_t>(limit);
+    if (limit > 0 && head->hasBody && fits)
+        return readWhole(*head, 0, handler);
+    answered(*head, handler);
+}
+
+// Reads the answer into memory until its end or until it is too large to keep.
+void EntryExchange::readWhole(
+    const ResponseHead& head, std::size_t bytes, const OutcomeHandler<ResponseHead>& handler)
+{
+    onAttempt([&](auto& attempt) {
+        attempt.readBody([self = shared_from_this(), head, bytes, handler](Outcome<BodyChunk> chunk) {
+            if (!chunk)
+                return self->attemptFailed(chunk.error(), handler);
+            const auto total = bytes + chunk->data.size();
+            const bool last = chunk->last;
+            self->m_read.push_back(std::move(*chunk));
+            if (last || total > self->m_entry.parts().options.bufferedAnswerBytes)
+                return self->answered(head, handler);
+            self->readWhole(head, total, handler);
+        });
+    });
+}
+
+void EntryExchange::answered(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler)
+{
+    const bool failure = head.status >= firstServerErrorStatus && m_request.context.idempotent;
+    if (failure) {
+        const Refusal refusal { RefusalReason::TargetFailed, RunState::Unknown, noTargetRetryAfter,
+            "the target answered " + std::to_string(head.status) };
+        const bool whole = !head.hasBody || (!m_read.empty() && m_read.back().last);
+        noteRefusal(refusal);
+        if (mayTryAgain(refusal)) {
+            if (whole)
+                m_fallback = WholeAnswer { head, std::exchange(m_read, {}) };
+            return tryAgain(handler);
+        }
+    }
+    settle(IdentityOutcome::Completed, head.status);
     m_entry.parts().metrics.noteAnswer(
         m_request.context.service, m_request.context.organisation, util::BootClock::now() - m_started);
-    handler(std::move(head));
+    logAnswer(head.status);
+    handler(head);
+}
+
+void EntryExchange::attemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler)
+{
+    m_read.clear();
+    noteRefusal(refusal);
+    if (mayTryAgain(refusal))
+        return tryAgain(handler);
+    finish(refusal, handler);
 }
 
 void EntryExchange::tryAgain(const OutcomeHandler<ResponseHead>& handler)
 {
+    m_read.clear();
+    onAttempt([](auto& attempt) { attempt.cancel(); });
     tryTarget([self = shared_from_this(), handler](Outcome<void> opened) {
         if (!opened)
-            return handler(tl::unexpected(opened.error()));
-        self->writeBody({ "", true }, [self, handler](Outcome<void>) { self->readHead(handler); });
+            return self->finish(opened.error(), handler);
+        self->replayBody(0, handler);
     });
 }
 
+void EntryExchange::replayBody(std::size_t next, const OutcomeHandler<ResponseHead>& handler)
+{
+    if (next >= m_sentBody.size())
+        return readHead(handler);
+    onAttempt([&](auto& attempt) {
+        attempt.writeBody(
+            m_sentBody[next], [self = shared_from_this(), next, handler](const Outcome<void>& written) {
+                if (!written)
+                    return self->readHead(handler);
+                self->replayBody(next + 1, handler);
+            });
+    });
+}
+
+void EntryExchange::finish(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler)
+{
+    if (!m_fallback)
+        return handler(tl::unexpected(finalRefusal(refusal)));
+    m_read = std::move(m_fallback->body);
+    settle(IdentityOutcome::Completed, m_fallback->head.status);
+    logAnswer(m_fallback->head.status);
+    handler(m_fallback->head);
+}
+
 void EntryExchange::readBody(OutcomeHandler<BodyChunk> handler)
 {
-    onAttempt([&](auto& attempt) { attempt.readBody(std::move(handler)); });
+    if (m_read.empty())
+        return onAttempt([&](auto& attempt) { attempt.readBody(std::move(handler)); });
+    auto chunk = std::move(m_read.front());
+    m_read.pop_front();
+    boost::asio::post(m_entry.parts().io,
+        [self = shared_from_this(), handler = std::move(handler), chunk = std::move(chunk)]() mutable {
+            if (!self->m_cancelled)
+                handler(std::move(chunk));
+        });
 }
 
 void EntryExchange::settle(IdentityOutcome outcome, int status)
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -5,17 +5,20 @@
 #include "tarragonhaven/guard_exchange.h"
 #include "tarragonhaven/peer_exchange.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
 #include <variant>
+#include <vector>
 
 namespace tarragonhaven {
 
 // A caller's request on its way: admission, choice of a target, and tries at targets, here or at other nodes.
 //
-// A request is tried again only if it certainly did not run, or if its route is idempotent and it has no
-// body; each further try comes out of the service's retry budget.
+// A request is tried again only if it certainly did not run, or if its route is idempotent, and only while
+// its body is kept. A try that reached a target comes out of the service's retry budget. How many targets may
+// run a request is bounded by its route.
 class EntryExchange : public std::enable_shared_from_this<EntryExchange> {
 public:
     EntryExchange(Entry& entry, AcceptedRequest request);
@@ -32,15 +35,30 @@
 private:
     using Attempt
         = std::variant<std::monostate, std::shared_ptr<GuardExchange>, std::shared_ptr<PeerExchange>>;
+    // An answer that was read whole.
+    struct WholeAnswer {
+        ResponseHead head;
+        std::deque<BodyChunk> body;
+    };
 
     void tryTarget(OutcomeHandler<void> handler);
+    TargetChoice choose();
     bool makeAttempt(const Target& target);
     void logChoice(const TargetChoice& choice);
+    void logAnswer(int status);
     void opened(Outcome<void> opened, const OutcomeHandler<void>& handler);
     void headRead(Outcome<ResponseHead> head, const OutcomeHandler<ResponseHead>& handler);
+    void readWhole(const ResponseHead& head, std::size_t bytes, const OutcomeHandler<ResponseHead>& handler);
+    void answered(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler);
+    void attemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     void tryAgain(const OutcomeHandler<ResponseHead>& handler);
-    [[nodiscard]] bool mayTryAgain(RunState run);
-    // The refusal that the caller is told: never "not run" when an earlier try may have run.
+    void replayBody(std::size_t next, const OutcomeHandler<ResponseHead>& handler);
+    void noteRefusal(const Refusal& refusal);
+    [[nodiscard]] bool mayTryAgain(const Refusal& refusal);
+    [[nodiscard]] bool bodyKept() const;
+    // What the caller is told at last: an answer that was kept, or the refusal, which is never "not run" when
+    // an earlier try may have run.
+    void finish(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     Refusal finalRefusal(Refusal refusal);
     void attemptEnded();
     void noteReport(const TargetName& target, const TargetReport& report);
@@ -52,11 +70,23 @@
     AcceptedRequest m_request;
     Attempt m_attempt;
     TargetName m_target;
-    std::set<TargetName> m_tried;
+    // Targets that refused for want of a slot, and those that are of no use to this request for any other
+    // reason.
+    std::set<TargetName> m_full;
+    std::set<TargetName> m_failed;
+    int m_tries = 0;
+    // Targets that may have run the request.
+    int m_runs = 0;
     std::uint64_t m_waiting = 0;
     bool m_admitted = false;
     bool m_settled = false;
     bool m_sent = false;
+    std::vector<BodyChunk> m_sentBody;
+    std::size_t m_sentBytes = 0;
+    // What was read of an answer before its head was passed on.
+    std::deque<BodyChunk> m_read;
+    // A failure that a target answered, passed on if no other try does better.
+    std::optional<WholeAnswer> m_fallback;
     // The failure of a try that may have run, if there was one.
     std::optional<Refusal> m_unknown;
     bool m_cancelled = false;
--- /dev/null
+++ b/tarragonhaven/entry_options.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "tarragonhaven/http_dialect.h"
+#include "tarragonhaven/names.h"
+#include "tarragonhaven/retry_budget.h"
+#include "tarragonhaven/target_standing.h"
+
+#include <cstddef>
+
+namespace tarragonhaven {
+
+// How an entry treats requests. The default is for fleets that are run from a declaration of their own.
+struct EntryOptions {
+    HttpDialect dialect;
+    // The service of the target beside this node, on whose behalf requests begin here.
+    ServiceName callerService;
+    // Answers up to this many bytes are read whole before the caller gets their head, so that one that breaks
+    // off can be tried again; 0 to pass on every answer as it comes.
+    std::size_t bufferedAnswerBytes = 0;
+    // Guards that refuse a request for want of a free slot before it waits at one.
+    int quickRefusals = 0;
+    // Requests a slot at the targets of a nearer place at which those of the next are used as well.
+    double spillLoad = 0.9;
+    // Whether a target of this node's own instance goes before others of its data centre.
+    bool preferOwnInstance = false;
+    // Whether an answer under way ends when its caller's key is withdrawn.
+    bool endAnswersOfWithdrawnKeys = true;
+    // Whether the time of a route bounds the whole answer; else it bounds the head.
+    bool deadlineCoversBody = false;
+    // Whether a node that stops serves the callers that still come.
+    bool serveWhileStopping = false;
+    // Whether requests without a key on open routes go first: targets make them while they run others.
+    bool internalFirst = false;
+    RetryBudgetOptions retryBudget;
+    StandingOptions standing;
+};
+
+} // namespace tarragonhaven
--- a/tarragonhaven/fleet_index.h
+++ b/tarragonhaven/fleet_index.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/caller_limits.h"
 #include "tarragonhaven/instance.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/ownership_group.h"
@@ -22,6 +23,7 @@
     std::vector<Service> services;
     std::vector<Route> routes;
     std::vector<std::string> organisationShards;
+    CallerLimits callerLimits;
 
     friend bool operator==(const FleetIndex&, const FleetIndex&) = default;
 };
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -1,34 +1,40 @@
 #include "tarragonhaven/guard.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tarragonhaven {
 
-Guard::Guard(boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation)
+Guard::Guard(boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation, GuardOptions options)
     : m_io(io)
     , m_self(std::move(self))
     , m_incarnation(incarnation)
+    , m_options(std::move(options))
 {
 }
 
-void Guard::apply(const Configuration& configuration)
+void Guard::apply(const Directory& directory)
 {
     auto before = std::exchange(m_targets, {});
-    for (const auto& service : configuration.index().services) {
-        for (const auto& target : service.targets) {
+    for (const auto& [service, targets] : directory.targets()) {
+        for (const auto& target : targets) {
             if (target.instance != m_self)
                 continue;
-            auto& kept = before[target.name];
-            if (kept)
+            auto kept = before[target.name];
+            const bool same = kept && kept->target().birth == target.birth;
+            if (same)
                 kept->update(target);
             else
-                kept = std::make_shared<GuardedTarget>(m_io, target, m_incarnation);
+                kept = std::make_shared<GuardedTarget>(m_io, target, m_incarnation, m_options);
             m_targets.emplace(target.name, kept);
-            before.erase(target.name);
+            if (same)
+                before.erase(target.name);
         }
     }
-    for (const auto& [name, removed] : before)
-        removed->drain();
+    for (const auto& [name, removed] : before) {
+        if (removed)
+            removed->drain();
+    }
     if (m_draining)
         drain();
 }
@@ -51,6 +57,12 @@
     return tellings;
 }
 
+bool Guard::busy() const
+{
+    return std::any_of(
+        m_targets.begin(), m_targets.end(), [](const auto& item) { return item.second->busy(); });
+}
+
 void Guard::drain()
 {
     m_draining = true;
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tarragonhaven/configuration.h"
+#include "tarragonhaven/directory.h"
 #include "tarragonhaven/guarded_target.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,11 +14,12 @@
 // The targets that this node guards.
 class Guard {
 public:
-    Guard(boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation);
+    Guard(
+        boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation, GuardOptions options = {});
 
-    // Takes over the targets of a new configuration. A target that is no longer declared finishes what it
-    // has.
-    void apply(const Configuration& configuration);
+    // Takes over the targets of a new directory. A target that is no longer in it finishes what it has; one
+    // that started anew under its name begins without evidence and connections.
+    void apply(const Directory& directory);
     // The target, or null when this node does not guard it.
     [[nodiscard]] std::shared_ptr<GuardedTarget> find(const TargetName& name) const;
     // A target's state that entries are to be told.
@@ -34,6 +35,8 @@
     // Refuses new requests, since the instance stops.
     void drain();
 
+    // Whether a request is at a target or waits for one.
+    [[nodiscard]] bool busy() const;
     [[nodiscard]] const std::map<TargetName, std::shared_ptr<GuardedTarget>>& targets() const
     {
         return m_targets;
@@ -43,6 +46,7 @@
     boost::asio::io_context& m_io;
     InstanceName m_self;
     std::uint64_t m_incarnation;
+    GuardOptions m_options;
     bool m_draining = false;
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
 };
--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -4,6 +4,8 @@
 
 #include "tarragonhaven/guard_exchange.h"
 
+#include "tarragonhaven/answer_check.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -12,10 +14,26 @@
 
 namespace {
 
-    constexpr util::Duration connectTimeout = std::chrono::seconds(1);
-    constexpr util::Duration idleLimit = std::chrono::seconds(30);
-    constexpr util::Duration idleLimitNotIdempotent = std::chrono::milliseconds(500);
     constexpr int firstServerErrorStatus = 500;
+    // A target that gives up at the deadline says so a moment after it.
+    constexpr util::Duration answerGrace = std::chrono::milliseconds(60);
+    constexpr util::Duration shedRetryAfter = std::chrono::milliseconds(500);
+
+    void setField(RequestHead& head, const std::string& name, const std::string& value)
+    {
+        if (!name.empty() && !value.empty())
+            head.fields.push_back({ name, value });
+    }
+
+    TargetResult resultOf(const Outcome<ResponseHead>& head)
+    {
+        if (head)
+            return head->status >= firstServerErrorStatus ? TargetResult::SoftFailure : TargetResult::Good;
+        if (head.error().reason == RefusalReason::TargetShed)
+            return TargetResult::Nothing;
+        return head.error().reason == RefusalReason::TargetTimeout ? TargetResult::SoftFailure
+                                                                   : TargetResult::HardFailure;
+    }
 
 } // namespace
 
@@ -30,19 +48,23 @@
 
 void GuardExchange::open(OutcomeHandler<void> handler)
 {
-    m_target->enter(m_context, [self = shared_from_this(), handler](Outcome<std::uint64_t> ticket) {
-        if (!ticket)
-            return self->m_cancelled ? void() : handler(tl::unexpected(ticket.error()));
-        self->m_ticket = *ticket;
-        if (self->m_cancelled)
-            return self->release(false);
-        self->connect(handler);
-    });
+    m_ticket = m_target->enter(
+        m_context, [self = shared_from_this(), handler = std::move(handler)](Outcome<void> entered) {
+            if (self->m_cancelled)
+                return;
+            if (!entered) {
+                self->m_ticket = 0;
+                return handler(tl::unexpected(entered.error()));
+            }
+            self->connect(handler);
+        });
 }
 
 void GuardExchange::connect(OutcomeHandler<void> handler)
 {
-    m_connection = m_target->takeIdle(m_context.idempotent ? idleLimit : idleLimitNotIdempotent);
+    const auto& options = m_target->options();
+    m_connection
+        = m_target->takeIdle(m_context.idempotent ? options.idleLimit : options.idleLimitNotIdempotent);
     if (m_connection) {
         boost::asio::post(m_target->io(), [self = shared_from_this(), handler = std::move(handler)] {
             if (!self->m_cancelled)
@@ -50,24 +72,39 @@
         });
         return;
     }
-    m_connection = std::make_unique<TargetConnection>(m_target->io());
-    m_connection->connect(m_target->target().address, connectTimeout,
+    m_connection = std::make_unique<TargetConnection>(m_target->io(),
+        TargetConnectionOptions { options.unframedAnswers, options.dialect.requestId, options.silence });
+    m_connection->connect(m_target->target().address, options.connectTimeout,
         [self = shared_from_this(), handler = std::move(handler)](Outcome<void> connected) {
             if (!connected) {
-                self->m_target->noteFailure(self->m_ticket);
+                self->m_target->noteUnreachable();
                 self->release(false);
             }
             handler(std::move(connected));
         });
 }
 
+RequestHead GuardExchange::headForTarget() const
+{
+    const auto& dialect = m_target->options().dialect;
+    auto head = m_head;
+    const auto left
+        = std::chrono::duration_cast<std::chrono::milliseconds>(m_context.deadline - util::BootClock::now());
+    setField(head, dialect.deadline, std::to_string(std::max<std::int64_t>(1, left.count())));
+    setField(head, dialect.expectedTarget, m_target->target().name.text);
+    setField(head, dialect.organisation, m_context.organisation.text);
+    setField(head, dialect.callerService, m_context.callerService.text);
+    return head;
+}
+
 void GuardExchange::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
 {
     if (!m_begun) {
         m_begun = true;
         m_started = util::BootClock::now();
         m_target->noteStarted(m_ticket);
-        m_connection->begin(m_head, m_context.deadline);
+        m_connection->begin(headForTarget(), m_context.requestId, m_context.deadline + answerGrace,
+            m_context.deadlineCoversBody);
     }
     m_connection->writeBody(std::move(chunk), std::move(handler));
 }
@@ -76,17 +113,34 @@
 {
     m_connection->readHead(
         [self = shared_from_this(), handler = std::move(handler)](Outcome<ResponseHead> head) {
+            head = self->judged(std::move(head));
             self->noteHead(head);
             handler(std::move(head));
         });
 }
 
+Outcome<ResponseHead> GuardExchange::judged(Outcome<ResponseHead> head) const
+{
+    if (!head)
+        return head;
+    const auto judgement = judgeAnswer(*head, m_context.requestId, m_target->options().dialect);
+    switch (judgement.verdict) {
+    case AnswerVerdict::Sound:
+        return head;
+    case AnswerVerdict::NotRun:
+        return tl::unexpected(
+            Refusal { RefusalReason::TargetShed, RunState::NotRun, shedRetryAfter, judgement.detail });
+    case AnswerVerdict::Foreign:
+    case AnswerVerdict::Unsound:
+        break;
+    }
+    return tl::unexpected(
+        Refusal { RefusalReason::TargetBadFraming, RunState::Unknown, util::Duration {}, judgement.detail });
+}
+
 void GuardExchange::noteHead(const Outcome<ResponseHead>& head)
 {
-    if (!head || head->status >= firstServerErrorStatus)
-        m_target->noteFailure(m_ticket);
-    else
-        m_target->noteAnswer(m_ticket, util::BootClock::now() - m_started);
+    m_target->noteResult(m_ticket, resultOf(head), util::BootClock::now() - m_started);
     if (!head || !head->hasBody)
         release(head.has_value());
 }
@@ -96,7 +150,7 @@
     m_connection->readBody(
         [self = shared_from_this(), handler = std::move(handler)](Outcome<BodyChunk> chunk) {
             if (!chunk)
-                self->m_target->noteFailure(self->m_ticket);
+                self->m_target->noteResult(self->m_ticket, TargetResult::HardFailure);
             if (!chunk || chunk->last)
                 self->release(chunk.has_value());
             handler(std::move(chunk));
--- a/tarragonhaven/guard_exchange.h
+++ b/tarragonhaven/guard_exchange.h
@@ -30,6 +30,10 @@
 private:
     void connect(OutcomeHandler<void> handler);
     void release(bool keepConnection);
+    // The head as the target is to see it.
+    [[nodiscard]] RequestHead headForTarget() const;
+    // What the answer's head is worth: itself, or a refusal in its place.
+    [[nodiscard]] Outcome<ResponseHead> judged(Outcome<ResponseHead> head) const;
     void noteHead(const Outcome<ResponseHead>& head);
 
     std::shared_ptr<GuardedTarget> m_target;
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -16,6 +16,8 @@
     constexpr util::Duration entryMemory = std::chrono::seconds(30);
     // Bounds what a guard sends of one target, however many entries use it.
     constexpr std::size_t mostTold = 12;
+    // Weight of the newest request in the average time that a slot is held.
+    constexpr double holdWeight = 0.1;
 
     SlotQueueOptions queueOptions(const Target& target)
     {
@@ -24,69 +26,134 @@
 
 } // namespace
 
-GuardedTarget::GuardedTarget(boost::asio::io_context& io, Target target, std::uint64_t incarnation)
+GuardedTarget::GuardedTarget(
+    boost::asio::io_context& io, Target target, std::uint64_t incarnation, const GuardOptions& options)
     : m_io(io)
     , m_target(std::move(target))
+    , m_options(options)
     , m_queue(queueOptions(m_target))
 {
     m_report.incarnation = incarnation;
+    if (m_options.breaker)
+        m_breaker.emplace(*m_options.breaker);
 }
 
-void GuardedTarget::enter(const RequestContext& context, OutcomeHandler<std::uint64_t> handler)
+Refusal GuardedTarget::suspect() const
+{
+    return { RefusalReason::TargetSuspect, RunState::NotRun, m_breaker->opensIn(util::BootClock::now()),
+        std::string(name(m_breaker->state(util::BootClock::now()))) };
+}
+
+std::optional<Refusal> GuardedTarget::refusalOnEntry(const RequestContext& context) const
+{
+    const auto now = util::BootClock::now();
+    const auto refusal = [](RefusalReason reason) {
+        return Refusal { reason, RunState::NotRun, queueRetryAfter, "" };
+    };
+    if (m_draining || m_target.leaving)
+        return refusal(RefusalReason::Stopping);
+    if (m_breaker && !m_breaker->admits(context.idempotent, now))
+        return suspect();
+    if (m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0)
+        return std::nullopt;
+    if (!context.mayQueue)
+        return refusal(RefusalReason::NoFreeSlot);
+    const auto turns = static_cast<int>(m_queue.waitingBefore(context.rank)) + 1;
+    const auto wait = m_typicalHold * turns / std::max(1, m_queue.slots());
+    if (m_options.predictWaits && now + wait + m_typicalHold > context.deadline)
+        return refusal(RefusalReason::QueueFull);
+    return std::nullopt;
+}
+
+std::uint64_t GuardedTarget::enter(const RequestContext& context, OutcomeHandler<void> handler)
 {
     const auto ticket = m_nextTicket++;
+    const auto now = util::BootClock::now();
     if (!context.entry.text.empty())
-        m_entries[context.entry] = util::BootClock::now();
-    m_waiting.emplace(ticket, std::move(handler));
-    if (m_draining)
-        return refuse(ticket, RefusalReason::Stopping);
-    const auto entry
-        = m_queue.enter({ ticket, context.organisation, context.deadline }, util::BootClock::now());
+        m_entries[context.entry] = now;
+    m_waiting.emplace(ticket, Waiting { std::move(handler), context.idempotent });
+    if (const auto refusal = refusalOnEntry(context)) {
+        refuse(ticket, *refusal);
+        return ticket;
+    }
+    const auto entry = m_queue.enter({ ticket, context.organisation, context.deadline, context.rank }, now);
     if (entry.displaced)
-        refuse(*entry.displaced, RefusalReason::QueueFull);
-    if (!entry.granted)
-        return;
-    auto granted = m_waiting.extract(ticket);
-    boost::asio::post(m_io, [handler = std::move(granted.mapped()), ticket] { handler(ticket); });
+        refuse(*entry.displaced, { RefusalReason::QueueFull, RunState::NotRun, queueRetryAfter, "" });
+    if (entry.granted)
+        granted(ticket, now);
+    return ticket;
 }
 
-void GuardedTarget::refuse(std::uint64_t ticket, RefusalReason reason)
+void GuardedTarget::refuse(std::uint64_t ticket, Refusal refusal)
 {
     auto waiting = m_waiting.extract(ticket);
     if (waiting.empty())
         return;
-    boost::asio::post(m_io, [handler = std::move(waiting.mapped()), reason] {
-        handler(tl::unexpected(Refusal { reason, RunState::NotRun, queueRetryAfter, "" }));
-    });
+    boost::asio::post(
+        m_io, [handler = std::move(waiting.mapped().handler), refusal = std::move(refusal)]() mutable {
+            handler(tl::unexpected(std::move(refusal)));
+        });
 }
 
 void GuardedTarget::leave(std::uint64_t ticket)
 {
+    const auto granted = m_grantedAt.extract(ticket);
+    if (!granted.empty()) {
+        const auto held = util::BootClock::now() - granted.mapped();
+        const bool first = m_typicalHold == util::Duration {};
+        m_typicalHold = first ? held
+                              : util::fromSeconds((1 - holdWeight) * util::toSeconds(m_typicalHold)
+                                  + holdWeight * util::toSeconds(held));
+    }
+    const auto running = m_running.extract(ticket);
+    if (!running.empty())
+        noteBreaker(TargetResult::Nothing, running.mapped().trial);
     m_waiting.erase(ticket);
-    m_started.erase(ticket);
     m_queue.leave(ticket);
     grantWaiting();
 }
 
 void GuardedTarget::grantWaiting()
 {
-    for (const auto ticket : m_queue.grant(util::BootClock::now())) {
-        auto granted = m_waiting.extract(ticket);
-        boost::asio::post(m_io, [handler = std::move(granted.mapped()), ticket] { handler(ticket); });
-    }
+    const auto now = util::BootClock::now();
+    for (const auto ticket : m_queue.grant(now))
+        granted(ticket, now);
+}
+
+void GuardedTarget::granted(std::uint64_t ticket, util::Time now)
+{
+    m_grantedAt.emplace(ticket, now);
+    auto waiting = m_waiting.extract(ticket);
+    boost::asio::post(m_io, [handler = std::move(waiting.mapped().handler)] { handler({}); });
 }
 
 void GuardedTarget::tick()
 {
     const auto now = util::BootClock::now();
     for (const auto ticket : m_queue.expire(now))
-        refuse(ticket, RefusalReason::QueueTimeout);
+        refuse(ticket, { RefusalReason::QueueTimeout, RunState::NotRun, queueRetryAfter, "" });
     const auto oldest = now - m_push.overdueAge();
-    const auto overdue
-        = std::erase_if(m_started, [oldest](const auto& item) { return item.second < oldest; });
-    m_report.overdue += overdue;
-    if (overdue > 0)
+    for (auto& [ticket, running] : m_running) {
+        if (running.overdue || running.since >= oldest)
+            continue;
+        running.overdue = true;
+        ++m_report.overdue;
         m_push.noteFailure();
+    }
+    refuseSuspected();
+}
+
+void GuardedTarget::refuseSuspected()
+{
+    if (!m_breaker || m_breaker->state(util::BootClock::now()) != TargetBreaker::State::Open)
+        return;
+    std::vector<std::uint64_t> tickets;
+    for (const auto& [ticket, waiting] : m_waiting)
+        tickets.push_back(ticket);
+    for (const auto ticket : tickets) {
+        m_queue.leave(ticket);
+        refuse(ticket, suspect());
+    }
 }
 
 std::vector<InstanceName> GuardedTarget::entriesToTell()
@@ -120,10 +187,13 @@
 
 std::unique_ptr<TargetConnection> GuardedTarget::takeIdle(util::Duration maximumIdle)
 {
-    const auto oldest = util::BootClock::now() - maximumIdle;
+    const auto now = util::BootClock::now();
+    const auto oldest = now - maximumIdle;
     while (!m_idle.empty()) {
         auto connection = std::move(m_idle.back());
         m_idle.pop_back();
+        if (now - connection->idleSince() > connection->idleLimit())
+            continue;
         if (connection->idleSince() < oldest) {
             m_idle.push_back(std::move(connection));
             return nullptr;
@@ -143,11 +213,31 @@
     m_idle.push_back(std::move(connection));
 }
 
-void GuardedTarget::noteStarted(std::uint64_t ticket) { m_started.emplace(ticket, util::BootClock::now()); }
+void GuardedTarget::noteStarted(std::uint64_t ticket)
+{
+    const bool trial = m_breaker && m_breaker->noteSent();
+    m_running.emplace(ticket, Running { util::BootClock::now(), trial, false });
+}
+
+void GuardedTarget::noteBreaker(TargetResult result, bool trial)
+{
+    if (!m_breaker)
+        return;
+    m_breaker->noteResult(result, trial, util::BootClock::now());
+    refuseSuspected();
+}
 
-void GuardedTarget::noteAnswer(std::uint64_t ticket, util::Duration toFirstByte)
+void GuardedTarget::noteResult(std::uint64_t ticket, TargetResult result, util::Duration toFirstByte)
 {
-    m_started.erase(ticket);
+    const auto running = m_running.extract(ticket);
+    if (!running.empty())
+        noteBreaker(result, running.mapped().trial);
+    if (result == TargetResult::Nothing)
+        return;
+    if (result != TargetResult::Good) {
+        ++m_report.failures;
+        return m_push.noteFailure();
+    }
     const auto microseconds = std::chrono::duration<double, std::micro>(toFirstByte).count();
     const double logLatency = std::log2(std::max(1.0, microseconds));
     m_report.logLatencySum += logLatency;
@@ -155,9 +245,9 @@
     m_push.noteAnswer(logLatency);
 }
 
-void GuardedTarget::noteFailure(std::uint64_t ticket)
+void GuardedTarget::noteUnreachable()
 {
-    m_started.erase(ticket);
+    noteBreaker(TargetResult::HardFailure, false);
     ++m_report.failures;
     m_push.noteFailure();
 }
@@ -168,7 +258,7 @@
     m_report.slots = m_queue.slots();
     m_report.slotsInUse = m_queue.inUse();
     m_report.queued = static_cast<int>(m_queue.waiting());
-    m_report.draining = m_draining;
+    m_report.draining = m_draining || m_target.leaving;
     return m_report;
 }
 
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "tarragonhaven/exchange.h"
+#include "tarragonhaven/guard_options.h"
 #include "tarragonhaven/report_push.h"
 #include "tarragonhaven/request_context.h"
 #include "tarragonhaven/slot_queue.h"
 #include "tarragonhaven/target.h"
+#include "tarragonhaven/target_breaker.h"
 #include "tarragonhaven/target_connection.h"
 #include "tarragonhaven/target_report.h"
 
@@ -13,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace tarragonhaven {
@@ -21,11 +24,12 @@
 // on its health. Only this node sends requests to the target, so all of it has a single writer.
 class GuardedTarget {
 public:
-    GuardedTarget(boost::asio::io_context& io, Target target, std::uint64_t incarnation);
+    GuardedTarget(
+        boost::asio::io_context& io, Target target, std::uint64_t incarnation, const GuardOptions& options);
 
-    // Takes a slot for the request, or waits for one until its deadline. The handler gets the ticket's id,
-    // with which the slot is given back; a refusal is always "not run".
-    void enter(const RequestContext& context, OutcomeHandler<std::uint64_t> handler);
+    // Takes a slot for the request, or waits for one until its deadline. Returns the ticket with which the
+    // slot or the place in the queue is given back. A refusal is always "not run" and ends the ticket.
+    std::uint64_t enter(const RequestContext& context, OutcomeHandler<void> handler);
     void leave(std::uint64_t ticket);
     // Refuses the tickets whose deadline has come, and notes overdue requests. Call it every few
     // milliseconds.
@@ -41,34 +45,58 @@
     std::unique_ptr<TargetConnection> takeIdle(util::Duration maximumIdle);
     void giveIdle(std::unique_ptr<TargetConnection> connection);
 
-    // Notes that a granted request was sent to the target, and the head of its answer or the lack of one.
+    // Notes that a granted request was sent to the target, then once what came of it. `toFirstByte` counts
+    // for a good answer.
     void noteStarted(std::uint64_t ticket);
-    void noteAnswer(std::uint64_t ticket, util::Duration toFirstByte);
-    void noteFailure(std::uint64_t ticket);
+    void noteResult(std::uint64_t ticket, TargetResult result, util::Duration toFirstByte = {});
+    // Notes that no connection could be made for a granted request.
+    void noteUnreachable();
 
     [[nodiscard]] TargetReport report();
     // Whether a request is at the target or waits for it.
     [[nodiscard]] bool busy() const { return m_queue.inUse() > 0 || m_queue.waiting() > 0; }
     [[nodiscard]] const Target& target() const { return m_target; }
+    [[nodiscard]] const GuardOptions& options() const { return m_options; }
+    [[nodiscard]] const std::optional<TargetBreaker>& breaker() const { return m_breaker; }
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
 
 private:
-    using Handlers = std::map<std::uint64_t, OutcomeHandler<std::uint64_t>>;
+    struct Waiting {
+        OutcomeHandler<void> handler;
+        bool idempotent = false;
+    };
+    // A request at the target.
+    struct Running {
+        util::Time since {};
+        bool trial = false;
+        bool overdue = false;
+    };
 
-    void refuse(std::uint64_t ticket, RefusalReason reason);
+    [[nodiscard]] std::optional<Refusal> refusalOnEntry(const RequestContext& context) const;
+    [[nodiscard]] Refusal suspect() const;
+    void refuse(std::uint64_t ticket, Refusal refusal);
     void grantWaiting();
+    void granted(std::uint64_t ticket, util::Time now);
+    void noteBreaker(TargetResult result, bool trial);
+    // Refuses waiting requests that the breaker would not let through.
+    void refuseSuspected();
 
     boost::asio::io_context& m_io;
     Target m_target;
+    GuardOptions m_options;
     SlotQueue m_queue;
-    Handlers m_waiting;
+    std::map<std::uint64_t, Waiting> m_waiting;
+    std::map<std::uint64_t, util::Time> m_grantedAt;
+    // Moving average of how long requests hold a slot; zero while none has ended.
+    util::Duration m_typicalHold {};
+    std::optional<TargetBreaker> m_breaker;
     std::vector<std::unique_ptr<TargetConnection>> m_idle;
     std::uint64_t m_nextTicket = 1;
     bool m_draining = false;
     TargetReport m_report;
     ReportPush m_push;
-    // Requests that wait for their first byte, and since when; those that are overdue are noted once.
-    std::map<std::uint64_t, util::Time> m_started;
+    // Requests that wait for their first byte; those that are overdue are noted once.
+    std::map<std::uint64_t, Running> m_running;
     std::map<InstanceName, util::Time> m_entries;
     // Where the next telling goes on in the entries.
     std::size_t m_nextTold = 0;
--- a/tarragonhaven/key_filter.cc
+++ b/tarragonhaven/key_filter.cc
@@ -61,15 +61,16 @@
         return decoded;
     }
 
-    std::string_view keyOfField(const HeaderField& field)
+    std::string_view keyOfField(const HeaderField& field, std::string_view scheme)
     {
         const auto value = util::toStd(absl::StripAsciiWhitespace(field.value));
         if (sameFieldName(field.name, "X-Api-Key"))
             return value;
-        if (!sameFieldName(field.name, "Authorization")
-            || !absl::StartsWithIgnoreCase(util::toAbsl(value), "bearer "))
+        const auto space = value.find(' ');
+        if (!sameFieldName(field.name, "Authorization") || space == std::string_view::npos
+            || !absl::EqualsIgnoreCase(util::toAbsl(value.substr(0, space)), util::toAbsl(scheme)))
             return {};
-        const auto credentials = value.substr(std::string_view("bearer ").size());
+        const auto credentials = value.substr(space + 1);
         return util::toStd(absl::StripAsciiWhitespace(util::toAbsl(credentials)));
     }
 
@@ -88,11 +89,11 @@
     return false;
 }
 
-std::optional<PresentedKey> takeKey(RequestHead& head)
+std::optional<PresentedKey> takeKey(RequestHead& head, std::string_view scheme)
 {
     std::optional<PresentedKey> key;
     for (const auto& field : head.fields) {
-        const auto candidate = keyOfField(field);
+        const auto candidate = keyOfField(field, scheme);
         if (!key && !candidate.empty())
             key = PresentedKey { std::string(candidate) };
     }
--- a/tarragonhaven/message_head.h
+++ b/tarragonhaven/message_head.h
@@ -28,7 +28,9 @@
     bool hasBody = false;
     // The length of the body in bytes; -1 when it is sent in chunks.
     std::int64_t contentLength = -1;
-    MSGPACK_DEFINE_ARRAY(method, target, fields, hasBody, contentLength);
+    // The Host field, sent on as it came; when empty, the target's address stands there.
+    std::string host;
+    MSGPACK_DEFINE_ARRAY(method, target, fields, hasBody, contentLength, host);
 
     friend auto operator<=>(const RequestHead&, const RequestHead&) = default;
     friend bool operator==(const RequestHead&, const RequestHead&) = default;
--- a/tarragonhaven/node_settings_parse.cc
+++ b/tarragonhaven/node_settings_parse.cc
@@ -1,6 +1,6 @@
 #include "tarragonhaven/node_settings_parse.h"
 
-#include <optional>
+#include "tarragonhaven/settings_checks.h"
 
 namespace tarragonhaven {
 
@@ -9,38 +9,6 @@
     constexpr double longestDrainSeconds = 3600;
     constexpr int mostConnections = 100'000;
 
-    void requireText(const std::string& value, const std::string& flag, util::Faults& faults)
-    {
-        if (value.empty())
-            faults.push_back({ flag, "is not set" });
-    }
-
-    Endpoint readAddress(const std::string& value, const std::string& flag, util::Faults& faults)
-    {
-        if (value.empty()) {
-            faults.push_back({ flag, "is not set" });
-            return {};
-        }
-        const auto endpoint = parseEndpoint(value);
-        if (!endpoint)
-            faults.push_back({ flag, "\"" + value + "\" is not an IP number and a port" });
-        return endpoint.value_or(Endpoint {});
-    }
-
-    LogLevel readLevel(const std::string& value, util::Faults& faults)
-    {
-        if (value == "debug")
-            return LogLevel::Debug;
-        if (value == "info")
-            return LogLevel::Info;
-        if (value == "warning")
-            return LogLevel::Warning;
-        if (value == "error")
-            return LogLevel::Error;
-        faults.push_back({ "log_level", "\"" + value + "\" is none of debug, info, warning, error" });
-        return LogLevel::Info;
-    }
-
     void checkDistinct(const NodeSettings& settings, util::Faults& faults)
     {
         if (settings.callerAddress.port == 0)
@@ -71,7 +39,7 @@
     settings.platformAddress = readAddress(raw.platformAddress, "platform_address", faults);
     for (const auto& peer : raw.seedPeers)
         settings.seedPeers.push_back(readAddress(peer, "seed_peers", faults));
-    settings.logLevel = readLevel(raw.logLevel, faults);
+    settings.logLevel = readLogLevel(raw.logLevel, faults);
     if (raw.drainSeconds < 0 || raw.drainSeconds > longestDrainSeconds)
         faults.push_back({ "drain_seconds", "is not from 0 to 3600" });
     settings.drainTimeout = util::fromSeconds(raw.drainSeconds);
--- a/tarragonhaven/operator_duty.cc
+++ b/tarragonhaven/operator_duty.cc
@@ -95,7 +95,6 @@
     : m_state(state)
     , m_requests(requests)
     , m_replies(replies)
-    , m_listener(m_io, [this](tcp::socket socket) { accept(std::move(socket)); })
 {
     m_replies.onPush([this] {
         boost::asio::post(m_io, [this] {
@@ -112,7 +111,9 @@
 
 std::string OperatorDuty::open(const Endpoint& endpoint)
 {
-    const auto fault = m_listener.open(endpoint);
+    m_listeners.push_back(
+        std::make_unique<Listener>(m_io, [this](tcp::socket socket) { accept(std::move(socket)); }));
+    const auto fault = m_listeners.back()->open(endpoint);
     return fault.empty() ? fault : "operator address: " + fault;
 }
 
--- a/tarragonhaven/operator_duty.h
+++ b/tarragonhaven/operator_duty.h
@@ -9,8 +9,10 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace tarragonhaven {
 
@@ -30,7 +32,7 @@
     OperatorDuty(const OperatorDuty&) = delete;
     OperatorDuty& operator=(const OperatorDuty&) = delete;
 
-    // Opens the listening socket. Returns an empty text, or why that failed.
+    // Opens a listening socket; there may be several. Returns an empty text, or why that failed.
     std::string open(const Endpoint& endpoint);
     void start();
     void stop();
@@ -45,7 +47,7 @@
     util::BoundedRing<StatusRequest>& m_requests;
     util::BoundedRing<StatusReply>& m_replies;
     boost::asio::io_context m_io;
-    Listener m_listener;
+    std::vector<std::unique_ptr<Listener>> m_listeners;
     std::map<unsigned long, ReplyHandler> m_waiting;
     unsigned long m_lastNumber = 0;
     std::thread m_thread;
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -14,7 +14,7 @@
 
     constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(35);
     // Beyond the deadline of a request, so that the guard's own refusal arrives first.
-    constexpr util::Duration answerGrace = std::chrono::milliseconds(500);
+    constexpr util::Duration answerGrace = std::chrono::milliseconds(150);
 
     Refusal lost(RunState run, const std::string& detail)
     {
@@ -54,7 +54,8 @@
 {
     const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(remaining());
     return { m_context.requestId, m_context.organisation.text, m_target.text, m_context.idempotent,
-        microseconds.count(), m_head };
+        microseconds.count(), m_head, m_context.callerService.text, m_context.rank, m_context.mayQueue,
+        m_context.deadlineCoversBody };
 }
 
 void PeerExchange::open(OutcomeHandler<void> handler)
--- a/tarragonhaven/peer_frame.h
+++ b/tarragonhaven/peer_frame.h
@@ -15,7 +15,7 @@
 namespace tarragonhaven {
 
 // The version of the frames between nodes. A node closes a link whose other end speaks another one.
-inline constexpr int peerProtocolVersion = 1;
+inline constexpr int peerProtocolVersion = 2;
 
 // The first frame on a link, from each side: who speaks.
 struct HelloFrame {
@@ -38,7 +38,12 @@
     // The rest of the deadline when the frame was sent, in microseconds.
     std::int64_t remainingUs = 0;
     RequestHead head;
-    MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, head);
+    std::string callerService;
+    int rank = 0;
+    bool mayQueue = true;
+    bool deadlineCoversBody = false;
+    MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, head, callerService, rank,
+        mayQueue, deadlineCoversBody);
 
     friend bool operator==(const OpenFrame&, const OpenFrame&) = default;
 };
--- a/tarragonhaven/peer_link.cc
+++ b/tarragonhaven/peer_link.cc
@@ -3,6 +3,9 @@
 
 #include "tarragonhaven/peer_link.h"
 
+#include "tarragonhaven/close_watch.h"
+#include "tarragonhaven/socket_options.h"
+
 #include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -41,7 +44,7 @@
                     self->fail(error.message());
                     return done(false);
                 }
-                self->setNoDelay();
+                endWhenSilent(self->m_stream.socket(), silence);
                 self->write(self->m_self, [self, timeout, done](bool written) {
                     if (!written)
                         return done(false);
@@ -52,7 +55,7 @@
 
     void accept(util::Duration timeout, Done done)
     {
-        setNoDelay();
+        endWhenSilent(m_stream.socket(), silence);
         readHello(timeout, [self = shared_from_this(), done = std::move(done)](bool accepted) {
             if (!accepted)
                 return done(false);
@@ -90,9 +93,18 @@
             });
     }
 
+    void watchClose(std::function<void()> onClosed)
+    {
+        if (!m_closed)
+            m_watch.start(m_stream.socket(), std::move(onClosed));
+    }
+
+    void stopWatch() { m_watch.stop(); }
+
     void close()
     {
         m_closed = true;
+        m_watch.stop();
         error_code ignored;
         m_stream.socket().close(ignored);
     }
@@ -112,12 +124,6 @@
     [[nodiscard]] const std::string& error() const { return m_error; }
 
 private:
-    void setNoDelay()
-    {
-        error_code ignored;
-        m_stream.socket().set_option(tcp::no_delay(true), ignored);
-    }
-
     void fail(const std::string& why)
     {
         if (m_error.empty())
@@ -171,6 +177,7 @@
     std::string m_out;
     std::string m_error;
     bool m_closed = false;
+    CloseWatch m_watch;
 };
 
 PeerLink::PeerLink(asio::io_context& io, HelloFrame self)
@@ -201,6 +208,10 @@
 
 void PeerLink::close() { m_rep->close(); }
 
+void PeerLink::watchClose(std::function<void()> onClosed) { m_rep->watchClose(std::move(onClosed)); }
+
+void PeerLink::stopWatch() { m_rep->stopWatch(); }
+
 bool PeerLink::stillOpen() { return m_rep->stillOpen(); }
 
 const HelloFrame& PeerLink::peer() const { return m_rep->peer(); }
--- a/tarragonhaven/peer_link.h
+++ b/tarragonhaven/peer_link.h
@@ -21,6 +21,8 @@
     using FrameHandler = std::function<void(std::optional<PeerFrame>)>;
 
     PeerLink(boost::asio::io_context& io, HelloFrame self);
+    // Bytes that the other end does not acknowledge for this long end the link, as do probes of an idle one.
+    static constexpr util::Duration silence = std::chrono::seconds(3);
     // A link over a socket that was accepted.
     PeerLink(boost::asio::ip::tcp::socket socket, HelloFrame self);
     ~PeerLink();
@@ -35,6 +37,9 @@
     // Waits for the next frame for at most `timeout`.
     void read(util::Duration timeout, FrameHandler handler);
     void close();
+    // Calls `onClosed` if the other end closes the link before stopWatch(), while nothing is read from it.
+    void watchClose(std::function<void()> onClosed);
+    void stopWatch();
 
     // Whether an idle link is still open and silent.
     [[nodiscard]] bool stillOpen();
--- a/tarragonhaven/peer_pool.cc
+++ b/tarragonhaven/peer_pool.cc
@@ -6,14 +6,14 @@
 
 namespace {
 
-    constexpr util::Duration connectTimeout = std::chrono::seconds(1);
     constexpr std::size_t maximumIdlePerPeer = 32;
 
 } // namespace
 
-PeerPool::PeerPool(boost::asio::io_context& io, HelloFrame self)
+PeerPool::PeerPool(boost::asio::io_context& io, HelloFrame self, util::Duration connectTimeout)
     : m_io(io)
     , m_self(std::move(self))
+    , m_connectTimeout(connectTimeout)
 {
 }
 
@@ -29,7 +29,7 @@
         return;
     }
     auto link = std::make_shared<PeerLink>(m_io, m_self);
-    link->connect(peer.peerAddress, connectTimeout, [link, handler = std::move(handler)](bool connected) {
+    link->connect(peer.peerAddress, m_connectTimeout, [link, handler = std::move(handler)](bool connected) {
         if (connected)
             return handler(link);
         handler(tl::unexpected(
--- a/tarragonhaven/peer_pool.h
+++ b/tarragonhaven/peer_pool.h
@@ -18,7 +18,8 @@
 public:
     using LinkHandler = OutcomeHandler<std::shared_ptr<PeerLink>>;
 
-    PeerPool(boost::asio::io_context& io, HelloFrame self);
+    PeerPool(boost::asio::io_context& io, HelloFrame self,
+        util::Duration connectTimeout = std::chrono::seconds(1));
 
     // Finds or makes a link to `peer`. A refusal is "not run".
     void take(const Instance& peer, LinkHandler handler);
@@ -31,6 +32,7 @@
 private:
     boost::asio::io_context& m_io;
     HelloFrame m_self;
+    util::Duration m_connectTimeout;
     std::map<InstanceName, std::vector<std::shared_ptr<PeerLink>>> m_idle;
 };
 
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -44,6 +44,7 @@
 
 void PeerSession::next()
 {
+    m_link->stopWatch();
     m_exchange.reset();
     m_busy = false;
     m_link->read(idleTimeout, [self = shared_from_this()](std::optional<PeerFrame> frame) {
@@ -82,11 +83,29 @@
     context.idempotent = frame.idempotent;
     context.deadline = util::BootClock::now() + std::chrono::microseconds(frame.remainingUs);
     context.entry = { m_link->peer().instance };
+    context.callerService = { frame.callerService };
+    context.rank = frame.rank;
+    context.mayQueue = frame.mayQueue;
+    context.deadlineCoversBody = frame.deadlineCoversBody;
     m_exchange = std::make_shared<GuardExchange>(m_target, std::move(context), frame.head);
+    if (!m_bodyDue)
+        watchEntry();
     std::make_shared<Relay<PeerSession, GuardExchange>>(shared_from_this(), m_exchange, frame.head.hasBody)
         ->start();
 }
 
+// The entry closes the link when its caller leaves; then the request ends here too.
+void PeerSession::watchEntry()
+{
+    m_link->watchClose([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || !self->m_exchange)
+            return;
+        self->m_exchange->cancel();
+        self->end();
+    });
+}
+
 void PeerSession::opened(std::function<void(bool)> handler)
 {
     if (!m_bodyDue)
@@ -105,6 +124,8 @@
                 return self->end();
             }
             self->m_bodyDue = !body->chunk.last;
+            if (!self->m_bodyDue)
+                self->watchEntry();
             handler(true, std::move(body->chunk));
         });
 }
--- a/tarragonhaven/peer_session.h
+++ b/tarragonhaven/peer_session.h
@@ -43,6 +43,7 @@
     void next();
     void handle(const PeerFrame& frame);
     void handleOpen(const OpenFrame& frame);
+    void watchEntry();
     void sendRefusal(const Refusal& refusal);
     void end();
 
--- /dev/null
+++ b/tarragonhaven/peer_set.cc
@@ -0,0 +1,39 @@
+#include "tarragonhaven/peer_set.h"
+
+namespace tarragonhaven {
+
+PeerSet::PeerSet(boost::asio::io_context& io, PeerHost& host, HelloFrame self)
+    : m_host(host)
+    , m_self(std::move(self))
+    , m_listener(io, [this](auto socket) { accept(std::move(socket)); })
+{
+}
+
+std::string PeerSet::open(const Endpoint& endpoint)
+{
+    const auto fault = m_listener.open(endpoint);
+    return fault.empty() ? fault : "peer address: " + fault;
+}
+
+void PeerSet::accept(boost::asio::ip::tcp::socket socket)
+{
+    auto link = std::make_shared<PeerLink>(std::move(socket), m_self);
+    auto session = std::make_shared<PeerSession>(m_host, std::move(link));
+    m_sessions.insert(session);
+    session->start();
+}
+
+void PeerSet::stop()
+{
+    for (const auto& weak : m_sessions) {
+        if (const auto session = weak.lock())
+            session->stop();
+    }
+}
+
+void PeerSet::tidy()
+{
+    std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
+}
+
+} // namespace tarragonhaven
--- a/tarragonhaven/refusal.cc
+++ b/tarragonhaven/refusal.cc
@@ -17,6 +17,7 @@
     constexpr std::array<ReasonRow, refusalReasonCount> reasonRows { {
         { RefusalReason::MalformedRequest, "malformed-request", 400 },
         { RefusalReason::HeaderTooLarge, "header-too-large", 431 },
+        { RefusalReason::BodyTooLarge, "body-too-large", 413 },
         { RefusalReason::VersionUnsupported, "version-unsupported", 505 },
         { RefusalReason::KeyMissing, "key-missing", 401 },
         { RefusalReason::KeyInQuery, "key-in-query", 400 },
@@ -36,6 +37,9 @@
         { RefusalReason::NoTarget, "no-target", 503 },
         { RefusalReason::QueueTimeout, "queue-timeout", 503 },
         { RefusalReason::QueueFull, "queue-full", 503 },
+        { RefusalReason::NoFreeSlot, "no-free-slot", 503 },
+        { RefusalReason::TargetSuspect, "target-suspect", 503 },
+        { RefusalReason::TargetShed, "target-shed", 503 },
         { RefusalReason::TargetUnreachable, "target-unreachable", 502 },
         { RefusalReason::TargetFailed, "target-failed", 502 },
         { RefusalReason::TargetTimeout, "target-timeout", 504 },
@@ -61,6 +65,16 @@
 
 int httpStatus(RefusalReason reason) { return rowOf(reason).status; }
 
+int strictHttpStatus(const Refusal& refusal)
+{
+    constexpr int badGateway = 502;
+    constexpr int unavailable = 503;
+    const int status = httpStatus(refusal.reason);
+    if (refusal.run == RunState::NotRun)
+        return status == badGateway ? unavailable : status;
+    return status < badGateway || status == unavailable ? badGateway : status;
+}
+
 std::string_view name(RunState run)
 {
     switch (run) {
--- a/tarragonhaven/refusal.h
+++ b/tarragonhaven/refusal.h
@@ -22,6 +22,7 @@
 enum class RefusalReason {
     MalformedRequest,
     HeaderTooLarge,
+    BodyTooLarge,
     VersionUnsupported,
     KeyMissing,
     KeyInQuery,
@@ -41,6 +42,12 @@
     NoTarget,
     QueueTimeout,
     QueueFull,
+    // The guard has no free slot, and the request was not to wait for one.
+    NoFreeSlot,
+    // The guard holds back requests, since its target fails them.
+    TargetSuspect,
+    // The target said that it did not run the request.
+    TargetShed,
     TargetUnreachable,
     TargetFailed,
     TargetTimeout,
@@ -68,6 +75,9 @@
 std::string_view name(RefusalReason reason);
 // The HTTP status of a reason.
 int httpStatus(RefusalReason reason);
+// The same where statuses are promises: 502 and 504 only for a request that may have run, others only for
+// one that has not.
+int strictHttpStatus(const Refusal& refusal);
 // "not-run", "unknown" or "ran".
 std::string_view name(RunState run);
 
--- a/tarragonhaven/request_context.h
+++ b/tarragonhaven/request_context.h
@@ -17,6 +17,14 @@
     // The entry that asked, at a guard that is another node.
     InstanceName entry;
     util::Time deadline {};
+    // Whether the deadline bounds the whole answer; else it bounds the head only.
+    bool deadlineCoversBody = false;
+    // The service of the instance where the request began.
+    ServiceName callerService;
+    // The order in which requests get a slot; the lowest goes first.
+    int rank = 0;
+    // Whether the request may wait for a slot; else a guard without a free one refuses it at once.
+    bool mayQueue = true;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -87,8 +87,9 @@
     return "ejected";
 }
 
-ServiceHealth::ServiceHealth(Service service)
+ServiceHealth::ServiceHealth(Service service, StandingOptions standing)
     : m_service(std::move(service))
+    , m_standing(standing)
 {
     update(m_service);
 }
@@ -100,7 +101,11 @@
     std::set<TargetName> declared;
     for (const auto& target : m_service.targets) {
         declared.insert(target.name);
-        m_states[target.name].target = target;
+        const auto found = m_states.find(target.name);
+        if (found != m_states.end() && found->second.target.birth != target.birth)
+            m_states.erase(found);
+        auto& state = m_states.try_emplace(target.name, m_standing).first->second;
+        state.target = target;
     }
     std::erase_if(m_states, [&declared](const auto& item) { return !declared.contains(item.first); });
 }
@@ -182,7 +187,7 @@
 {
     const auto standing = state.standing.standing();
     const bool trusted = standing == Standing::Active || standing == Standing::Ramp;
-    return trusted && !state.leaving && !state.evidence.lastReport().draining;
+    return trusted && !state.leaving && !state.target.leaving && !state.evidence.lastReport().draining;
 }
 
 int ServiceHealth::slotsInUse() const
@@ -197,7 +202,7 @@
 {
     int slots = 0;
     for (const auto& [name, state] : m_states)
-        slots += state.target.slots;
+        slots += state.target.leaving ? 0 : state.target.slots;
     return (slots * m_service.floorPercent + percent - 1) / percent;
 }
 
@@ -360,7 +365,8 @@
     while (slotsInUse() < floorSlots()) {
         State* best = nullptr;
         for (auto& [name, state] : m_states) {
-            const bool usable = !state.leaving && !state.evidence.lastReport().draining;
+            const bool usable
+                = !state.leaving && !state.target.leaving && !state.evidence.lastReport().draining;
             if (!usable || state.standing.standing() != Standing::Ejected)
                 continue;
             if (!best || state.evidence.score() < best->evidence.score())
@@ -400,7 +406,7 @@
         TargetView view;
         view.target = &state.target;
         view.standing = state.standing.standing();
-        view.leaving = state.leaving || state.evidence.lastReport().draining;
+        view.leaving = state.leaving || state.target.leaving || state.evidence.lastReport().draining;
         view.weight = state.standing.weight(now);
         const auto& report = state.evidence.lastReport();
         const int reported = report.slotsInUse + report.queued + state.sentSinceReport;
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -61,9 +61,10 @@
 // worst go first when the floor bounds how many can.
 class ServiceHealth {
 public:
-    explicit ServiceHealth(Service service);
+    explicit ServiceHealth(Service service, StandingOptions standing = {});
 
-    // Takes over a new declaration of the same service. Targets that stay keep their evidence.
+    // Takes over a new declaration of the same service. Targets that stay keep their evidence, unless they
+    // started anew.
     void update(const Service& service);
     void noteReport(const TargetName& target, const TargetReport& report, util::Time now);
     void notePathFailure(const TargetName& target);
@@ -90,6 +91,10 @@
 
 private:
     struct State {
+        explicit State(StandingOptions options)
+            : standing(options)
+        {
+        }
         Target target;
         TargetEvidence evidence;
         TargetStanding standing;
@@ -120,6 +125,7 @@
         const State& state, double score, util::Time now, std::vector<EjectionDecision>& decisions);
 
     Service m_service;
+    StandingOptions m_standing;
     States m_states;
     std::map<TargetName, util::Time> m_keptLogged;
     bool m_touched = true;
--- /dev/null
+++ b/tarragonhaven/settings_checks.cc
@@ -0,0 +1,45 @@
+#include "tarragonhaven/settings_checks.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace tarragonhaven {
+
+void requireText(const std::string& value, const std::string& flag, util::Faults& faults)
+{
+    if (value.empty())
+        faults.push_back({ flag, "is not set" });
+}
+
+Endpoint readAddress(const std::string& value, const std::string& flag, util::Faults& faults)
+{
+    if (value.empty()) {
+        faults.push_back({ flag, "is not set" });
+        return {};
+    }
+    const auto endpoint = parseEndpoint(value);
+    if (!endpoint)
+        faults.push_back({ flag, "\"" + value + "\" is not an IP number and a port" });
+    return endpoint.value_or(Endpoint {});
+}
+
+LogLevel readLogLevel(const std::string& value, util::Faults& faults)
+{
+    if (value == "debug")
+        return LogLevel::Debug;
+    if (value == "info")
+        return LogLevel::Info;
+    if (value == "warning")
+        return LogLevel::Warning;
+    if (value == "error")
+        return LogLevel::Error;
+    faults.push_back({ "log_level", "\"" + value + "\" is none of debug, info, warning, error" });
+    return LogLevel::Info;
+}
+
+void requireRange(double value, double low, double high, const std::string& flag, util::Faults& faults)
+{
+    if (!(value >= low && value <= high))
+        faults.push_back({ flag, absl::StrCat("is not from ", low, " to ", high) });
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/settings_checks.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/log_line.h"
+#include "util/error.h"
+
+#include <string>
+
+namespace tarragonhaven {
+
+// Checks of single settings; each notes a fault under the flag's name.
+
+void requireText(const std::string& value, const std::string& flag, util::Faults& faults);
+Endpoint readAddress(const std::string& value, const std::string& flag, util::Faults& faults);
+LogLevel readLogLevel(const std::string& value, util::Faults& faults);
+void requireRange(double value, double low, double high, const std::string& flag, util::Faults& faults);
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/sidecar_flags.cc
@@ -0,0 +1,106 @@
+#include "tarragonhaven/sidecar_flags.h"
+
+#include "util/environment_flags.h"
+#include "util/flag_file.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <string>
+#include <vector>
+
+ABSL_FLAG(
+    std::string, boot, "", "File with more of these flags, one --name=value a line; read again on SIGHUP.");
+ABSL_FLAG(std::string, fleet, "", "Identity: the fleet's name; nodes of other fleets are not spoken with.");
+ABSL_FLAG(std::string, label, "", "Identity: this node's name in its log.");
+ABSL_FLAG(std::string, data_centre, "", "Identity: the data centre that this instance is in.");
+ABSL_FLAG(std::string, service, "", "Identity: the service of the target beside this node.");
+ABSL_FLAG(std::string, target_address, "", "Addresses: IP number and port of the target beside this node.");
+ABSL_FLAG(std::string, caller_address, "", "Addresses: IP number and port where callers connect.");
+ABSL_FLAG(std::string, peer_address, "",
+    "Addresses: IP number and port where other nodes connect (TCP and UDP). The port is the same at all "
+    "nodes.");
+ABSL_FLAG(std::string, operator_address, "", "Addresses: IP number and port of the operator endpoint.");
+ABSL_FLAG(
+    std::string, metrics_address, "", "Addresses: another IP number and port of the operator endpoint.");
+ABSL_FLAG(std::string, store_address, "", "Addresses: IP number and port of the store that is read.");
+ABSL_FLAG(std::string, log_level, "info", "Log: debug, info, warning or error.");
+ABSL_FLAG(double, quota_window_seconds, 5, "Limits: window of organisations' limits, 0.1 to 3600 s.");
+ABSL_FLAG(
+    double, quota_overshoot, 0.25, "Limits: share by which all nodes together may exceed a limit, 0 to 10.");
+ABSL_FLAG(double, quota_slack, 20, "Limits: requests by which they may exceed it besides.");
+ABSL_FLAG(double, retry_window_seconds, 10, "Limits: window of the bound on retries, 0.1 to 3600 s.");
+ABSL_FLAG(double, retry_share, 0.2, "Limits: retries of all nodes for a request to a service, 0 to 10.");
+ABSL_FLAG(double, retry_slack, 60, "Limits: retries of all nodes that a service may get besides.");
+ABSL_FLAG(
+    double, floor_share, 0.7, "Limits: share of a service's slots that ejection leaves in use, 0 to 1.");
+ABSL_FLAG(
+    double, grace_seconds, 6, "Limits: from the signal to stop to the end of the process, 0.5 to 3600 s.");
+
+namespace tarragonhaven {
+
+namespace {
+
+    constexpr const char* environmentPrefix = "TARRAGONHAVEN";
+    constexpr const char* usage
+        = "Carries traffic beside one target of a fleet that discovers its targets.\n\n"
+          "Each flag may be set by an environment variable instead, as in TARRAGONHAVEN_CALLER_ADDRESS for\n"
+          "--caller_address, or in the file that --boot names; the command line goes before the "
+          "environment,\n"
+          "and that before the file. SIGTERM begins a planned stop, SIGHUP reads the file again.\n"
+          "Exit codes: 0 after a planned stop, 1 when the sockets cannot be opened, 2 for wrong settings.";
+
+    RawSidecarSettings rawSettings()
+    {
+        return { absl::GetFlag(FLAGS_fleet), absl::GetFlag(FLAGS_label), absl::GetFlag(FLAGS_data_centre),
+            absl::GetFlag(FLAGS_service), absl::GetFlag(FLAGS_target_address),
+            absl::GetFlag(FLAGS_caller_address), absl::GetFlag(FLAGS_peer_address),
+            absl::GetFlag(FLAGS_operator_address), absl::GetFlag(FLAGS_metrics_address),
+            absl::GetFlag(FLAGS_store_address), absl::GetFlag(FLAGS_log_level),
+            absl::GetFlag(FLAGS_quota_window_seconds), absl::GetFlag(FLAGS_quota_overshoot),
+            absl::GetFlag(FLAGS_quota_slack), absl::GetFlag(FLAGS_retry_window_seconds),
+            absl::GetFlag(FLAGS_retry_share), absl::GetFlag(FLAGS_retry_slack),
+            absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds) };
+    }
+
+    util::Faults applyEnvironment()
+    {
+        return util::applyEnvironment(environmentPrefix,
+            { "boot", "fleet", "label", "data_centre", "service", "target_address", "caller_address",
+                "peer_address", "operator_address", "metrics_address", "store_address", "log_level",
+                "quota_window_seconds", "quota_overshoot", "quota_slack", "retry_window_seconds",
+                "retry_share", "retry_slack", "floor_share", "grace_seconds" });
+    }
+
+} // namespace
+
+util::Checked<SidecarSettings> readSidecarFlags(int argumentCount, char** arguments)
+{
+    absl::SetProgramUsageMessage(usage);
+    // The file's name may come from the environment, and the environment goes before what the file says.
+    auto faults = applyEnvironment();
+    const auto file = absl::GetFlag(FLAGS_boot);
+    if (faults.empty() && !file.empty())
+        faults = util::applyFlagFile(file);
+    if (faults.empty())
+        faults = applyEnvironment();
+    const auto rest = absl::ParseCommandLine(argumentCount, arguments);
+    if (rest.size() > 1)
+        faults.push_back({ rest[1], "is not a flag" });
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return parseSidecarSettings(rawSettings());
+}
+
+util::Checked<SidecarSettings> rereadSidecarFlags()
+{
+    const auto file = absl::GetFlag(FLAGS_boot);
+    auto faults = file.empty() ? util::Faults {} : util::applyFlagFile(file);
+    if (faults.empty())
+        faults = applyEnvironment();
+    if (!faults.empty())
+        return tl::unexpected(faults);
+    return parseSidecarSettings(rawSettings());
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/sidecar_node.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "tarragonhaven/discovery_duty.h"
+#include "tarragonhaven/http_dialect.h"
+#include "tarragonhaven/log_writer.h"
+#include "tarragonhaven/node_state.h"
+#include "tarragonhaven/operator_duty.h"
+#include "tarragonhaven/sidecar_settings.h"
+#include "tarragonhaven/sidecar_traffic.h"
+
+#include <random>
+#include <string>
+#include <utility>
+
+namespace tarragonhaven {
+
+// A node that discovers its targets: the process beside one target of a fleet whose declarations and targets
+// are read from a store. Threads: traffic, discovery, operators and the log, joined by bounded rings. It
+// keeps nothing: a node that starts takes no request before it has read both.
+//
+//   SidecarNode<PlatformStore> node(settings, dialect, makeStore);
+//   const auto fault = node.start();
+//   ...
+//   node.beginStop();
+//   while (!node.drained())
+//       wait();
+template <RecordStore Store> class SidecarNode {
+public:
+    // `makeStore` gets the io_context of the discovery thread.
+    template <typename MakeStore>
+    SidecarNode(SidecarSettings settings, const HttpDialect& dialect, MakeStore makeStore)
+        : m_settings(std::move(settings))
+        , m_logWriter(m_settings.label, m_settings.logLevel)
+        , m_log(m_logWriter.channel())
+        , m_discovery(std::move(makeStore), directoryOptions(m_settings), m_logWriter.channel())
+        , m_traffic({ m_settings, helloOf(m_settings), m_state, m_logWriter.channel(), m_discovery.events(),
+              dialect })
+        , m_operators(m_state, m_traffic.statusRequests(), m_traffic.statusReplies())
+    {
+    }
+
+    ~SidecarNode()
+    {
+        m_operators.stop();
+        m_discovery.stop();
+        m_traffic.stop();
+        m_log.write(LogLevel::Info, "node", { { "event", "stopped" } });
+        m_logWriter.stop();
+    }
+    SidecarNode(const SidecarNode&) = delete;
+    SidecarNode& operator=(const SidecarNode&) = delete;
+
+    // Opens the sockets and starts the threads. Returns an empty text, or why that failed.
+    std::string start()
+    {
+        auto fault = m_traffic.open();
+        if (fault.empty())
+            fault = m_operators.open(m_settings.operatorAddress);
+        if (fault.empty() && m_settings.metricsAddress)
+            fault = m_operators.open(*m_settings.metricsAddress);
+        if (!fault.empty())
+            return fault;
+        m_logWriter.start();
+        m_log.write(LogLevel::Info, "node",
+            { { "event", "started" }, { "dataCentre", m_settings.dataCentre.text },
+                { "service", m_settings.service.text }, { "target", toString(m_settings.targetAddress) },
+                { "callerAddress", toString(m_settings.callerAddress) } });
+        m_traffic.start();
+        m_operators.start();
+        m_discovery.start();
+        return {};
+    }
+
+    // Begins a planned stop.
+    void beginStop()
+    {
+        m_log.write(LogLevel::Info, "node", { { "event", "stopping" } });
+        m_traffic.beginStop();
+    }
+
+    // Notes that the settings were read again, and which of them differ and wait for the next start.
+    void noteReload(const util::Checked<SidecarSettings>& settings)
+    {
+        if (settings) {
+            m_log.write(LogLevel::Info, "node",
+                { { "event", "reloaded" }, { "changed", !(*settings == m_settings) } });
+            return;
+        }
+        const auto& first = settings.error().front();
+        m_log.write(LogLevel::Error, "node",
+            { { "event", "reload-refused" }, { "setting", first.path }, { "reason", first.reason } });
+    }
+
+    // Whether the stop has nothing left to wait for.
+    [[nodiscard]] bool drained() const { return m_state.drained.load(); }
+
+private:
+    // An incarnation is random, since the wall clock may step: it tells starts apart and puts them in no
+    // order.
+    static HelloFrame helloOf(const SidecarSettings& settings)
+    {
+        std::random_device device;
+        const auto incarnation = (static_cast<std::uint64_t>(device()) << 32U) | device();
+        return { peerProtocolVersion, settings.fleet, settings.instance.text, incarnation };
+    }
+
+    static DirectoryOptions directoryOptions(const SidecarSettings& settings)
+    {
+        DirectoryOptions options;
+        options.peerPort = settings.peerAddress.port;
+        return options;
+    }
+
+    SidecarSettings m_settings;
+    NodeState m_state;
+    LogWriter m_logWriter;
+    LogChannel& m_log;
+    DiscoveryDuty<Store> m_discovery;
+    SidecarTraffic m_traffic;
+    OperatorDuty m_operators;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/sidecar_traffic.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "tarragonhaven/caller_set.h"
+#include "tarragonhaven/datagram_socket.h"
+#include "tarragonhaven/discovery_event.h"
+#include "tarragonhaven/entry.h"
+#include "tarragonhaven/guard.h"
+#include "tarragonhaven/node_state.h"
+#include "tarragonhaven/peer_set.h"
+#include "tarragonhaven/quota_admission.h"
+#include "tarragonhaven/sidecar_settings.h"
+#include "tarragonhaven/status_request.h"
+#include "util/bounded_ring.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <string>
+#include <thread>
+
+namespace tarragonhaven {
+
+// The thread that carries traffic at a node that discovers its targets: callers' connections, links from and
+// to other nodes, the target beside it, and the datagrams that keep organisations' limits. Declarations and
+// the directory come from the discovery thread's ring.
+class SidecarTraffic : public PeerHost {
+public:
+    struct Parts {
+        const SidecarSettings& settings;
+        HelloFrame hello;
+        NodeState& state;
+        LogChannel& log;
+        util::BoundedRing<DiscoveryEvent>& events;
+        HttpDialect dialect;
+    };
+
+    explicit SidecarTraffic(Parts parts);
+    ~SidecarTraffic() override;
+    SidecarTraffic(const SidecarTraffic&) = delete;
+    SidecarTraffic& operator=(const SidecarTraffic&) = delete;
+
+    // Opens the listening sockets. Returns an empty text, or why that failed.
+    std::string open();
+    void start();
+    // Begins a planned stop. The guard takes no new work at once; callers are served on for as long as they
+    // may not know of the stop, and what is under way is finished.
+    void beginStop();
+    // Ends the thread.
+    void stop();
+
+    [[nodiscard]] util::BoundedRing<StatusRequest>& statusRequests() { return m_statusRequests; }
+    [[nodiscard]] util::BoundedRing<StatusReply>& statusReplies() { return m_statusReplies; }
+
+    Guard& guard() override { return m_guard; }
+    ValueFrame value(const std::string& name) override;
+    void peerEnded(const std::string& peer, const std::string& why) override;
+
+private:
+    void handleEvent(DiscoveryEvent event);
+    void handleDatagram(const Endpoint& source, const ControlEnvelope& envelope);
+    void applyView();
+    [[nodiscard]] RetryBudgetOptions retryBudget() const;
+    void tellEntries();
+    void everyTick();
+    void drainTick();
+    void answerStatus(const StatusRequest& request);
+
+    Parts m_parts;
+    boost::asio::io_context m_io;
+    Guard m_guard;
+    PeerPool m_peers;
+    TrafficMetrics m_metrics;
+    DatagramSocket m_socket;
+    QuotaAdmission m_admission;
+    Entry m_entry;
+    CallerSet m_callers;
+    PeerSet m_peerSessions;
+    boost::asio::steady_timer m_tickTimer;
+    util::BoundedRing<StatusRequest> m_statusRequests;
+    util::BoundedRing<StatusReply> m_statusReplies;
+    ConfigurationPointer m_configuration;
+    DirectoryPointer m_directory;
+    unsigned long m_ticks = 0;
+    bool m_stopping = false;
+    bool m_refusing = false;
+    util::Time m_stopBegan {};
+    std::thread m_thread;
+};
+
+} // namespace tarragonhaven
--- a/tarragonhaven/slot_queue.cc
+++ b/tarragonhaven/slot_queue.cc
@@ -21,7 +21,10 @@
         take(ticket);
         return { true, std::nullopt };
     }
-    m_shares[ticket.organisation].queue.push_back(ticket);
+    auto& queue = m_shares[ticket.organisation].queue;
+    queue.insert(std::upper_bound(queue.begin(), queue.end(), ticket,
+                     [](const SlotTicket& a, const SlotTicket& b) { return a.rank < b.rank; }),
+        ticket);
     ++m_waiting;
     if (m_waiting > m_options.maximumWaiting)
         return { false, displaceOne() };
@@ -84,11 +87,11 @@
     forgetIfIdle(share);
 }
 
-// The fewest slots first, then the longest unserved, then the oldest request: tickets are numbered as they
-// come.
-std::tuple<int, std::uint64_t, std::uint64_t> SlotQueue::rankOf(const Share& share)
+// The lowest rank first, then the fewest slots, then the longest unserved, then the oldest request: tickets
+// are numbered as they come.
+std::tuple<int, int, std::uint64_t, std::uint64_t> SlotQueue::orderOf(const Share& share)
 {
-    return { share.held, share.lastServed, share.queue.front().id };
+    return { share.queue.front().rank, share.held, share.lastServed, share.queue.front().id };
 }
 
 SlotQueue::Shares::iterator SlotQueue::nextShare(util::Time now)
@@ -99,7 +102,7 @@
         const bool servable = !candidate.queue.empty() && now < candidate.queue.front().deadline;
         if (!servable)
             continue;
-        if (best == m_shares.end() || rankOf(candidate) < rankOf(best->second))
+        if (best == m_shares.end() || orderOf(candidate) < orderOf(best->second))
             best = share;
     }
     return best;
@@ -138,6 +141,16 @@
     return expired;
 }
 
+std::size_t SlotQueue::waitingBefore(int rank) const
+{
+    std::size_t count = 0;
+    for (const auto& [organisation, share] : m_shares) {
+        count += static_cast<std::size_t>(std::count_if(share.queue.begin(), share.queue.end(),
+            [rank](const SlotTicket& ticket) { return ticket.rank <= rank; }));
+    }
+    return count;
+}
+
 void SlotQueue::resize(int slots) { m_options.slots = slots; }
 
 int SlotQueue::heldBy(const OrganisationName& organisation) const
--- a/tarragonhaven/slot_queue.h
+++ b/tarragonhaven/slot_queue.h
@@ -15,8 +15,9 @@
 
 // Shares the slots of one target between organisations.
 //
-// A request that finds a free slot takes it. Else it waits in the queue of its organisation. A slot that
-// comes free goes to the waiting organisation that holds the fewest slots of this target; among equals, to
+// A request that finds a free slot takes it. Else it waits in the queue of its organisation, behind those of
+// the same or a lower rank. A slot that comes free goes to the lowest rank that waits; within it, to the
+// organisation that holds the fewest slots of this target; among equals, to
 // the one that was served longest ago, then to the one whose request came first; within an organisation, to
 // the oldest request. So an organisation that sends many requests, or holds slots for long, delays its own
 // requests before those of others, while a single busy organisation may use every slot.
@@ -41,6 +42,8 @@
     OrganisationName organisation;
     // The ticket is not granted at or after this time.
     util::Time deadline {};
+    // Tickets of a lower rank go first, whatever organisation they are of.
+    int rank = 0;
 
     friend auto operator<=>(const SlotTicket&, const SlotTicket&) = default;
     friend bool operator==(const SlotTicket&, const SlotTicket&) = default;
@@ -73,6 +76,8 @@
     [[nodiscard]] int slots() const { return m_options.slots; }
     [[nodiscard]] int inUse() const { return static_cast<int>(m_holders.size()); }
     [[nodiscard]] std::size_t waiting() const { return m_waiting; }
+    // Waiting tickets that would go before a new one of this rank.
+    [[nodiscard]] std::size_t waitingBefore(int rank) const;
     [[nodiscard]] int heldBy(const OrganisationName& organisation) const;
 
 private:
@@ -85,7 +90,7 @@
 
     void take(const SlotTicket& ticket);
     std::optional<std::uint64_t> displaceOne();
-    static std::tuple<int, std::uint64_t, std::uint64_t> rankOf(const Share& share);
+    static std::tuple<int, int, std::uint64_t, std::uint64_t> orderOf(const Share& share);
     Shares::iterator nextShare(util::Time now);
     void forgetIfIdle(Shares::iterator share);
     bool removeWaiting(std::uint64_t id);
--- /dev/null
+++ b/tarragonhaven/socket_options.cc
@@ -0,0 +1,35 @@
+// An option that cannot be set leaves a connection that is slower to notice a silent peer, and is otherwise
+// as good; so errors are not passed on.
+
+#include "tarragonhaven/socket_options.h"
+
+#include <algorithm>
+#include <netinet/tcp.h>
+
+namespace tarragonhaven {
+
+namespace {
+
+    using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using KeepIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepInterval = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using KeepCount = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+    constexpr int probes = 2;
+
+} // namespace
+
+void endWhenSilent(boost::asio::ip::tcp::socket& socket, util::Duration silence)
+{
+    boost::system::error_code ignored;
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(silence).count();
+    const int seconds = std::max(1, static_cast<int>(milliseconds / 1000 / (probes + 1)));
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(UserTimeout(static_cast<int>(milliseconds)), ignored);
+    socket.set_option(KeepIdle(seconds), ignored);
+    socket.set_option(KeepInterval(seconds), ignored);
+    socket.set_option(KeepCount(probes), ignored);
+}
+
+} // namespace tarragonhaven
--- a/tarragonhaven/target.h
+++ b/tarragonhaven/target.h
@@ -2,8 +2,10 @@
 
 #include "tarragonhaven/endpoint.h"
 #include "tarragonhaven/names.h"
+#include "util/time.h"
 
 #include <compare>
+#include <cstdint>
 
 namespace tarragonhaven {
 
@@ -13,6 +15,14 @@
     InstanceName instance;
     Endpoint address;
     int slots = 1;
+    DataCentreName dataCentre;
+    // When this start of the target began, in milliseconds since 1970; a later start under the same name has
+    // a higher number. 0 for a declared target.
+    std::int64_t birth = 0;
+    // The target gets no new work, since it is about to end.
+    bool leaving = false;
+    // Until when the target is slow after its start.
+    util::Time coldUntil {};
 
     friend auto operator<=>(const Target&, const Target&) = default;
     friend bool operator==(const Target&, const Target&) = default;
--- a/tarragonhaven/target_chooser.cc
+++ b/tarragonhaven/target_chooser.cc
@@ -5,6 +5,7 @@
 #include "tarragonhaven/target_chooser.h"
 
 #include <algorithm>
+#include <map>
 
 namespace tarragonhaven {
 
@@ -26,15 +27,29 @@
         return result;
     }
 
-    std::vector<const TargetView*> preferred(
-        const std::vector<const TargetView*>& views, const std::function<bool(const Target&)>& isLocal)
+    std::vector<const TargetView*> preferred(const std::vector<const TargetView*>& views, double spillLoad,
+        const std::function<int(const Target&)>& distance)
     {
-        std::vector<const TargetView*> local;
-        std::copy_if(views.begin(), views.end(), std::back_inserter(local),
-            [&isLocal](const TargetView* view) { return isLocal(*view->target); });
-        const bool free = std::any_of(
-            local.begin(), local.end(), [](const TargetView* view) { return view->load < spillLoad; });
-        return free ? local : views;
+        std::map<int, std::vector<const TargetView*>> places;
+        for (const auto* view : views)
+            places[distance(*view->target)].push_back(view);
+        for (const auto& [place, near] : places) {
+            const bool free = std::any_of(near.begin(), near.end(),
+                [spillLoad](const TargetView* view) { return view->load < spillLoad; });
+            if (free)
+                return near;
+        }
+        return views;
+    }
+
+    TargetChoice cheapest(const std::vector<const TargetView*>& views)
+    {
+        const auto best = std::min_element(views.begin(), views.end(),
+            [](const TargetView* a, const TargetView* b) { return costOf(*a) < costOf(*b); });
+        if (best == views.end())
+            return { nullptr, {}, "no usable target" };
+        const auto* target = (*best)->target;
+        return { target, { { target->name, costOf(**best) } }, "cheapest of all" };
     }
 
     std::vector<const TargetView*> onProbation(
--- a/tarragonhaven/target_chooser.h
+++ b/tarragonhaven/target_chooser.h
@@ -34,30 +34,35 @@
     bool idempotent = false;
     // Targets that this request was refused by.
     std::set<TargetName> excluded;
+    // Requests a slot at which the targets of a nearer place have no room for more.
+    double spillLoad = 0.9;
+    // Takes the cheapest of all targets that may be used, wherever it is.
+    bool leastLoaded = false;
 };
 
 // The cost of sending a request to a target.
 double costOf(const TargetView& view);
 
 // Chooses a target by two random draws, weighted by slots and standing, of which the cheaper is taken.
-// Targets of the same data centre come first until all of them are loaded to `spillLoad` requests a slot.
+// Nearer targets come first until all of them are loaded to `spillLoad` requests a slot.
 //
-// `isLocal` tells whether a target is in this node's data centre.
+// `distance` tells how far a target is from this node; the least is the nearest.
 template <typename Random>
 TargetChoice chooseTarget(const std::vector<TargetView>& views, const ChoiceRequest& request,
-    const std::function<bool(const Target&)>& isLocal, Random& random);
+    const std::function<int(const Target&)>& distance, Random& random);
 
 namespace chooser_detail {
 
-    inline constexpr double spillLoad = 0.9;
     inline constexpr double probationChance = 0.05;
 
     std::vector<const TargetView*> usable(const std::vector<TargetView>& views, const ChoiceRequest& request);
-    std::vector<const TargetView*> preferred(
-        const std::vector<const TargetView*>& views, const std::function<bool(const Target&)>& isLocal);
+    std::vector<const TargetView*> preferred(const std::vector<const TargetView*>& views, double spillLoad,
+        const std::function<int(const Target&)>& distance);
     std::vector<const TargetView*> onProbation(
         const std::vector<TargetView>& views, const ChoiceRequest& request);
 
+    TargetChoice cheapest(const std::vector<const TargetView*>& views);
+
     template <typename Random>
     const TargetView* draw(const std::vector<const TargetView*>& views, Random& random)
     {
@@ -77,7 +82,7 @@
 
 template <typename Random>
 TargetChoice chooseTarget(const std::vector<TargetView>& views, const ChoiceRequest& request,
-    const std::function<bool(const Target&)>& isLocal, Random& random)
+    const std::function<int(const Target&)>& distance, Random& random)
 {
     const auto probation = chooser_detail::onProbation(views, request);
     const bool tests = !probation.empty()
@@ -86,7 +91,10 @@
         const auto* view = chooser_detail::draw(probation, random);
         return { view->target, { { view->target->name, costOf(*view) } }, "probation" };
     }
-    const auto candidates = chooser_detail::preferred(chooser_detail::usable(views, request), isLocal);
+    if (request.leastLoaded)
+        return chooser_detail::cheapest(chooser_detail::usable(views, request));
+    const auto candidates
+        = chooser_detail::preferred(chooser_detail::usable(views, request), request.spillLoad, distance);
     if (candidates.empty())
         return { nullptr, {}, "no usable target" };
     const auto* first = chooser_detail::draw(candidates, random);
--- a/tarragonhaven/target_connection.cc
+++ b/tarragonhaven/target_connection.cc
@@ -6,7 +6,13 @@
 #include "tarragonhaven/target_connection.h"
 
 #include "tarragonhaven/http_fields.h"
+#include "tarragonhaven/socket_options.h"
+#include "util/text.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -26,6 +32,11 @@
 
     constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(30);
     constexpr std::uint32_t headLimitBytes = 64 * 1024;
+    // Before the end of the time that a target keeps an idle connection; covers the way of a request to it.
+    constexpr util::Duration idleMargin = std::chrono::milliseconds(500);
+    constexpr util::Duration idleLimitUnknown = std::chrono::seconds(30);
+    // Answers to other requests that are passed over before the connection is given up.
+    constexpr int mostForeignAnswers = 3;
     constexpr unsigned httpVersion11 = 11;
     // Bodies stream through in chunks; their length is not bounded.
     constexpr std::uint64_t noBodyLimit = std::numeric_limits<std::uint64_t>::max();
@@ -39,8 +50,9 @@
 
 class TargetConnection::Rep : public std::enable_shared_from_this<TargetConnection::Rep> {
 public:
-    explicit Rep(asio::io_context& io)
+    Rep(asio::io_context& io, TargetConnectionOptions options)
         : m_stream(io)
+        , m_options(std::move(options))
     {
     }
 
@@ -57,13 +69,19 @@
                     return handler(tl::unexpected(
                         failure(RefusalReason::TargetUnreachable, RunState::NotRun, error.message())));
                 self->m_stream.socket().set_option(tcp::no_delay(true), error);
+                if (self->m_options.silence > util::Duration {})
+                    endWhenSilent(self->m_stream.socket(), self->m_options.silence);
                 handler({});
             });
     }
 
-    void begin(const RequestHead& head, util::Time deadline)
+    void begin(
+        const RequestHead& head, const std::string& requestId, util::Time deadline, bool deadlineCoversBody)
     {
+        m_requestId = requestId;
+        m_foreignAnswers = 0;
         m_deadline = deadline;
+        m_deadlineCoversBody = deadlineCoversBody;
         m_headWritten = false;
         m_complete = false;
         m_requestSent = false;
@@ -73,7 +91,7 @@
         m_request->version(httpVersion11);
         m_request->method_string(head.method);
         m_request->target(head.target);
-        m_request->set(http::field::host, m_host);
+        m_request->set(http::field::host, head.host.empty() ? m_host : head.host);
         for (const auto& field : head.fields)
             m_request->insert(field.name, field.value);
         if (m_chunked)
@@ -83,18 +101,14 @@
         m_request->body().data = nullptr;
         m_request->body().more = true;
         m_serializer.emplace(*m_request);
-        m_parser.emplace();
-        m_parser->header_limit(headLimitBytes);
-        m_parser->body_limit(noBodyLimit);
-        if (m_isHead)
-            m_parser->skip(true);
+        renewParser();
         m_hasBody = head.hasBody;
     }
 
     void writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
     {
         m_chunk = std::move(chunk);
-        m_stream.expires_after(m_headWritten ? bodyIdleTimeout : remaining());
+        m_stream.expires_after(m_headWritten ? bodyWait() : remaining());
         if (m_headWritten)
             return writeChunk(std::move(handler));
         m_headWritten = true;
@@ -126,7 +140,7 @@
 
     void readBody(OutcomeHandler<BodyChunk> handler)
     {
-        m_stream.expires_after(bodyIdleTimeout);
+        m_stream.expires_after(bodyWait());
         m_storage.resize(bodyChunkBytes);
         auto& body = m_parser->get().body();
         body.data = m_storage.data();
@@ -166,10 +180,25 @@
     }
 
     [[nodiscard]] util::Time idleSince() const { return m_idleSince; }
+    [[nodiscard]] util::Duration idleLimit() const { return m_idleLimit; }
 
 private:
     using Parser = http::response_parser<http::buffer_body>;
 
+    void renewParser()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(headLimitBytes);
+        m_parser->body_limit(noBodyLimit);
+        m_parser->skip(m_isHead);
+    }
+
+    [[nodiscard]] util::Duration bodyWait() const
+    {
+        return m_deadlineCoversBody ? std::min<util::Duration>(bodyIdleTimeout, remaining())
+                                    : bodyIdleTimeout;
+    }
+
     [[nodiscard]] util::Duration remaining() const
     {
         return std::max<util::Duration>(m_deadline - util::BootClock::now(), std::chrono::milliseconds(1));
@@ -207,7 +236,11 @@
         if (message.result_int() < 200)
             return skipInterim(handler);
         ResponseHead head = toHead();
-        if (head.hasBody && !m_parser->chunked() && !m_parser->content_length())
+        if (isForeign(head))
+            return passOver(head, handler);
+        noteIdleLimit();
+        const bool unframed = head.hasBody && !m_parser->chunked() && !m_parser->content_length();
+        if (unframed && !m_options.unframedAnswers)
             return handler(tl::unexpected(failure(
                 RefusalReason::TargetBadFraming, RunState::Unknown, "the answer does not say its length")));
         if (!head.hasBody)
@@ -218,13 +251,50 @@
     // Passes over an interim answer (100 to 199) and waits for the final one.
     void skipInterim(const OutcomeHandler<ResponseHead>& handler)
     {
-        m_parser.emplace();
-        m_parser->header_limit(headLimitBytes);
-        m_parser->body_limit(noBodyLimit);
-        m_parser->skip(m_isHead);
+        renewParser();
         readHead(handler);
     }
 
+    [[nodiscard]] bool isForeign(const ResponseHead& head) const
+    {
+        if (m_options.requestIdField.empty())
+            return false;
+        const auto id = fieldValue(head.fields, m_options.requestIdField);
+        return !id.empty() && id != m_requestId;
+    }
+
+    // Reads an answer to another request to its end and waits for the next one.
+    void passOver(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler)
+    {
+        const bool framed = !head.hasBody || m_parser->chunked() || m_parser->content_length();
+        if (!framed || ++m_foreignAnswers > mostForeignAnswers)
+            return handler(tl::unexpected(failure(
+                RefusalReason::TargetBadFraming, RunState::Unknown, "answers to other requests only")));
+        if (!head.hasBody)
+            return skipInterim(handler);
+        readBody([self = shared_from_this(), head, handler](Outcome<BodyChunk> chunk) {
+            if (!chunk)
+                return handler(tl::unexpected(chunk.error()));
+            self->m_complete = false;
+            if (chunk->last)
+                return self->skipInterim(handler);
+            --self->m_foreignAnswers;
+            self->passOver(head, handler);
+        });
+    }
+
+    // Takes the limit from the field "Keep-Alive: timeout=SECONDS".
+    void noteIdleLimit()
+    {
+        const auto value = m_parser->get()[http::field::keep_alive];
+        for (const auto part : absl::StrSplit(absl::string_view(value.data(), value.size()), ',')) {
+            auto item = absl::StripAsciiWhitespace(part);
+            int seconds = 0;
+            if (absl::ConsumePrefix(&item, "timeout=") && absl::SimpleAtoi(item, &seconds))
+                m_idleLimit = std::max<util::Duration>(std::chrono::seconds(seconds) - idleMargin, {});
+        }
+    }
+
     ResponseHead toHead()
     {
         const auto& message = m_parser->get();
@@ -271,7 +341,12 @@
     }
 
     beast::tcp_stream m_stream;
+    TargetConnectionOptions m_options;
     beast::flat_buffer m_buffer;
+    std::string m_requestId;
+    int m_foreignAnswers = 0;
+    bool m_deadlineCoversBody = false;
+    util::Duration m_idleLimit = idleLimitUnknown;
     std::string m_host;
     std::optional<http::request<http::buffer_body>> m_request;
     std::optional<http::request_serializer<http::buffer_body>> m_serializer;
@@ -290,8 +365,8 @@
     bool m_closed = false;
 };
 
-TargetConnection::TargetConnection(asio::io_context& io)
-    : m_rep(std::make_shared<Rep>(io))
+TargetConnection::TargetConnection(asio::io_context& io, TargetConnectionOptions options)
+    : m_rep(std::make_shared<Rep>(io, std::move(options)))
 {
 }
 
@@ -302,7 +377,11 @@
     m_rep->connect(endpoint, timeout, std::move(handler));
 }
 
-void TargetConnection::begin(const RequestHead& head, util::Time deadline) { m_rep->begin(head, deadline); }
+void TargetConnection::begin(
+    const RequestHead& head, const std::string& requestId, util::Time deadline, bool deadlineCoversBody)
+{
+    m_rep->begin(head, requestId, deadline, deadlineCoversBody);
+}
 
 void TargetConnection::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
 {
@@ -321,4 +400,6 @@
 
 util::Time TargetConnection::idleSince() const { return m_rep->idleSince(); }
 
+util::Duration TargetConnection::idleLimit() const { return m_rep->idleLimit(); }
+
 } // namespace tarragonhaven
--- a/tarragonhaven/target_connection.h
+++ b/tarragonhaven/target_connection.h
@@ -12,10 +12,22 @@
 
 // A kept connection from a guard to its target, which carries one request at a time over HTTP/1.1. Bodies go
 // through in chunks. An answer that does not say its own length (neither Content-Length nor chunks) is
-// refused, since its end could not be told from a cut.
+// refused, since its end could not be told from a cut, unless the options let the end of the connection end
+// it.
+struct TargetConnectionOptions {
+    // Whether an answer without a length of its own ends with its connection; a reset cuts it all the same.
+    bool unframedAnswers = false;
+    // The field that repeats the request's id in an answer; with it, answers to other requests that arrive
+    // first are passed over. Empty for none.
+    std::string requestIdField;
+    // A target that is silent for this long, without an acknowledgement, is taken for gone; zero for the
+    // system's own limit.
+    util::Duration silence {};
+};
+
 class TargetConnection {
 public:
-    explicit TargetConnection(boost::asio::io_context& io);
+    explicit TargetConnection(boost::asio::io_context& io, TargetConnectionOptions options = {});
     ~TargetConnection();
     TargetConnection(const TargetConnection&) = delete;
     TargetConnection& operator=(const TargetConnection&) = delete;
@@ -23,7 +35,9 @@
     // Connects within `timeout`. A failure says that the request did not run.
     void connect(const Endpoint& endpoint, util::Duration timeout, OutcomeHandler<void> handler);
     // Starts a request: the next writeBody() sends its head first.
-    void begin(const RequestHead& head, util::Time deadline);
+    // The deadline bounds the wait for the head of the answer, and with `deadlineCoversBody` all of it.
+    void begin(
+        const RequestHead& head, const std::string& requestId, util::Time deadline, bool deadlineCoversBody);
     void writeBody(BodyChunk chunk, OutcomeHandler<void> handler);
     void readHead(OutcomeHandler<ResponseHead> handler);
     void readBody(OutcomeHandler<BodyChunk> handler);
@@ -36,6 +50,8 @@
     [[nodiscard]] bool stillOpen();
     // When the last answer ended.
     [[nodiscard]] util::Time idleSince() const;
+    // How long the target keeps the connection when it is idle, as it said; less a margin.
+    [[nodiscard]] util::Duration idleLimit() const;
 
 private:
     class Rep;
--- a/tarragonhaven/target_evidence.cc
+++ b/tarragonhaven/target_evidence.cc
@@ -26,8 +26,9 @@
 
 ReportDelta TargetEvidence::deltaOf(const TargetReport& report) const
 {
-    const bool restarted = report.incarnation > m_last.incarnation;
-    if (!restarted && (report.incarnation < m_last.incarnation || report.sequence <= m_last.sequence))
+    const bool restarted = report.incarnation != m_last.incarnation;
+    const bool late = m_supersededIncarnation != 0 && report.incarnation == m_supersededIncarnation;
+    if (late || (!restarted && report.sequence <= m_last.sequence))
         return {};
     const TargetReport base = restarted ? TargetReport {} : m_last;
     ReportDelta delta;
@@ -45,6 +46,8 @@
     auto delta = deltaOf(report);
     if (!delta.fresh)
         return delta;
+    if (report.incarnation != m_last.incarnation)
+        m_supersededIncarnation = m_last.incarnation;
     m_last = report;
     // The counters of a guard that ran before this node saw it say nothing of the present.
     if (first && delta.answers + delta.failures > 1) {
--- a/tarragonhaven/target_evidence.h
+++ b/tarragonhaven/target_evidence.h
@@ -77,6 +77,8 @@
 
     EvidenceOptions m_options;
     TargetReport m_last;
+    // Incarnations are in no order; reports of the one before the last are late.
+    std::uint64_t m_supersededIncarnation = 0;
     double m_latencyScore = 0;
     double m_failureScore = 0;
     double m_logLatency = 0;
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -2,14 +2,13 @@
 
 #include "tarragonhaven/node.h"
 #include "tarragonhaven/node_settings_parse.h"
+#include "tarragonhaven/stop_signals.h"
 #include "util/environment_flags.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <csignal>
 #include <cstdio>
-#include <ctime>
 #include <string>
 #include <vector>
 
@@ -55,28 +54,6 @@
     return exitUsage;
 }
 
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
-// Waits until the node has drained. Returns false when a second signal asks to end at once.
-bool waitDrained(const tarragonhaven::Node& node, const sigset_t& signals)
-{
-    constexpr timespec pollInterval { 0, 20'000'000 };
-    while (!node.drained()) {
-        if (sigtimedwait(&signals, nullptr, &pollInterval) > 0)
-            return false;
-    }
-    return true;
-}
-
 } // namespace
 
 int main(int argumentCount, char** arguments)
@@ -93,17 +70,17 @@
     const auto settings = tarragonhaven::parseNodeSettings(rawSettings());
     if (!settings)
         return reportFaults(settings.error());
-    const auto signals = blockStopSignals();
+    const auto signals = tarragonhaven::blockNodeSignals();
     tarragonhaven::Node node(*settings);
     const auto fault = node.start();
     if (!fault.empty()) {
         std::fprintf(stderr, "%s\n", fault.c_str());
         return exitFailure;
     }
-    int signal = 0;
-    sigwait(&signals, &signal);
+    // Settings are flags and environment alone, so there is nothing to read again.
+    tarragonhaven::awaitStopSignal(signals, [] {});
     node.beginStop();
-    if (!waitDrained(node, signals))
+    if (!tarragonhaven::awaitDrained(signals, [&node] { return node.drained(); }))
         std::_Exit(0);
     return 0;
 }
--- a/tarragonhaven/testing/capacity_bench.cc
+++ b/tarragonhaven/testing/capacity_bench.cc
@@ -271,7 +271,7 @@
                 for (int i = 0; i < 200; ++i)
                     health.evaluate(clock.now());
             });
-            const auto local = [](const Target&) { return true; };
+            const auto local = [](const Target&) { return 0; };
             const double choices = secondsOf([&] {
                 for (int i = 0; i < 20000; ++i)
                     chooseTarget(health.views(clock.now()), { true, {} }, local, random);
--- a/tarragonhaven/testing/policy_model.cc
+++ b/tarragonhaven/testing/policy_model.cc
@@ -197,10 +197,10 @@
             if (m_options.policy != Policy::Ours)
                 return chooseInTurn(entry);
             const int dataCentre = request.entry % m_options.dataCentres;
-            const auto isLocal = [&](const Target& target) {
-                return std::stoi(target.name.text) % m_options.dataCentres == dataCentre;
+            const auto distance = [&](const Target& target) {
+                return std::stoi(target.name.text) % m_options.dataCentres == dataCentre ? 0 : 1;
             };
-            const auto choice = chooseTarget(entry.health->views(m_now), { true, {} }, isLocal, m_random);
+            const auto choice = chooseTarget(entry.health->views(m_now), { true, {} }, distance, m_random);
             if (!choice.target)
                 return -1;
             request.probing = choice.reason == "probation";
--- a/tarragonhaven/testing/service_health_test.cc
+++ b/tarragonhaven/testing/service_health_test.cc
@@ -226,8 +226,9 @@
     for (int i = 0; i < 40; ++i)
         feed.answer(static_cast<std::size_t>(i % 4), 20);
     std::mt19937_64 random(3);
-    const auto local
-        = [](const Target& target) { return target.instance.text == "i0" || target.instance.text == "i1"; };
+    const auto local = [](const Target& target) {
+        return target.instance.text == "i0" || target.instance.text == "i1" ? 0 : 1;
+    };
     std::map<std::string, int> chosen;
     for (int i = 0; i < 1000; ++i)
         ++chosen[chooseTarget(feed.health.views(feed.clock.now()), { true, {} }, local, random)
--- a/tarragonhaven/traffic_duty.cc
+++ b/tarragonhaven/traffic_duty.cc
@@ -23,9 +23,9 @@
           IdentityIssuer(m_parts.settings.instance, m_parts.hello.incarnation, m_parts.identitySecret),
           m_parts.hello.incarnation)
     , m_entry({ m_io, m_guard, m_peers, m_control, m_parts.log, m_metrics, m_parts.settings.instance,
-          m_parts.settings.dataCentre, m_parts.hello.incarnation })
-    , m_callerListener(m_io, [this](auto socket) { acceptCaller(std::move(socket)); })
-    , m_peerListener(m_io, [this](auto socket) { acceptPeer(std::move(socket)); })
+          m_parts.settings.dataCentre, m_parts.hello.incarnation, EntryOptions {} })
+    , m_callers(m_io, m_entry, m_parts.settings.maximumConnections)
+    , m_peerSessions(m_io, *this, m_parts.hello)
     , m_tickTimer(m_io)
     , m_statusRequests(statusRingItems)
     , m_statusReplies(statusRingItems)
@@ -52,11 +52,8 @@
 
 std::string TrafficDuty::open()
 {
-    const auto callerFault = m_callerListener.open(m_parts.settings.callerAddress);
-    if (!callerFault.empty())
-        return "caller address: " + callerFault;
-    const auto peerFault = m_peerListener.open(m_parts.settings.peerAddress);
-    return peerFault.empty() ? peerFault : "peer address: " + peerFault;
+    const auto fault = m_callers.open(m_parts.settings.callerAddress);
+    return fault.empty() ? m_peerSessions.open(m_parts.settings.peerAddress) : fault;
 }
 
 void TrafficDuty::start()
@@ -75,28 +72,6 @@
         m_thread.join();
 }
 
-void TrafficDuty::acceptCaller(boost::asio::ip::tcp::socket socket)
-{
-    if (m_callers.size() >= m_parts.settings.maximumConnections)
-        return;
-    auto session = std::make_shared<CallerSession>(
-        m_entry, std::move(socket), [this](const std::shared_ptr<CallerSession>& ended) {
-            m_callers.erase(ended);
-            m_metrics.noteConnection(-1);
-        });
-    m_callers.insert(session);
-    m_metrics.noteConnection(1);
-    session->start();
-}
-
-void TrafficDuty::acceptPeer(boost::asio::ip::tcp::socket socket)
-{
-    auto link = std::make_shared<PeerLink>(std::move(socket), m_parts.hello);
-    auto session = std::make_shared<PeerSession>(*this, std::move(link));
-    m_peerSessions.insert(session);
-    session->start();
-}
-
 ValueFrame TrafficDuty::value(const std::string& name)
 {
     const auto& configuration = m_entry.configuration();
@@ -115,8 +90,9 @@
 void TrafficDuty::handleEvent(ConfigurationEvent event)
 {
     if (auto* accepted = std::get_if<ConfigurationAccepted>(&event)) {
-        m_guard.apply(*accepted->configuration);
-        m_entry.apply(std::move(accepted->configuration));
+        const auto directory = Directory::declaredBy(*accepted->configuration);
+        m_guard.apply(*directory);
+        m_entry.apply(std::move(accepted->configuration), directory);
         updateReadiness();
     }
     if (auto* leaving = std::get_if<LeavingListed>(&event)) {
@@ -165,7 +141,7 @@
     m_control.tick();
     if (++m_ticks % ticksPerEvaluation == 0) {
         m_entry.tick();
-        std::erase_if(m_peerSessions, [](const auto& session) { return session.expired(); });
+        m_peerSessions.tidy();
     }
     if (m_stopping)
         drainTick();
@@ -183,14 +159,10 @@
         m_stopDeadline = util::BootClock::now() + m_parts.settings.drainTimeout;
         m_parts.state.ready.store(false);
         m_parts.controlRequests.push(StopRequest {});
-        m_callerListener.close();
+        m_callers.closeListener();
         m_guard.drain();
-        for (const auto& session : m_callers)
-            session->stop(false);
-        for (const auto& weak : m_peerSessions) {
-            if (const auto session = weak.lock())
-                session->stop();
-        }
+        m_callers.endAfterAnswers();
+        m_peerSessions.stop();
     });
 }
 
@@ -198,15 +170,8 @@
 {
     const auto now = util::BootClock::now();
     const bool late = now >= m_stopDeadline;
-    const auto callers = m_callers;
-    for (const auto& session : callers) {
-        if (late || !session->busy())
-            session->stop(true);
-    }
-    bool guarding = false;
-    for (const auto& [name, target] : m_guard.targets())
-        guarding = guarding || target->busy();
-    if (late || (m_callers.empty() && !guarding))
+    m_callers.endIdle();
+    if (late || (m_callers.empty() && !m_guard.busy()))
         m_parts.state.drained.store(true);
 }
 
--- a/tarragonhaven/traffic_duty.h
+++ b/tarragonhaven/traffic_duty.h
@@ -1,15 +1,14 @@
 #pragma once
 
-#include "tarragonhaven/caller_session.h"
+#include "tarragonhaven/caller_set.h"
 #include "tarragonhaven/configuration_event.h"
 #include "tarragonhaven/control_client.h"
 #include "tarragonhaven/control_exchange.h"
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/guard.h"
-#include "tarragonhaven/listener.h"
 #include "tarragonhaven/node_settings.h"
 #include "tarragonhaven/node_state.h"
-#include "tarragonhaven/peer_session.h"
+#include "tarragonhaven/peer_set.h"
 #include "tarragonhaven/status_request.h"
 #include "util/bounded_ring.h"
 
@@ -59,8 +58,6 @@
     void peerEnded(const std::string& peer, const std::string& why) override;
 
 private:
-    void acceptCaller(boost::asio::ip::tcp::socket socket);
-    void acceptPeer(boost::asio::ip::tcp::socket socket);
     void handleEvent(ConfigurationEvent event);
     void handleReply(const ControlReply& reply);
     void updateReadiness();
@@ -76,13 +73,11 @@
     TrafficMetrics m_metrics;
     ControlClient m_control;
     Entry m_entry;
-    Listener m_callerListener;
-    Listener m_peerListener;
+    CallerSet m_callers;
+    PeerSet m_peerSessions;
     boost::asio::steady_timer m_tickTimer;
     util::BoundedRing<StatusRequest> m_statusRequests;
     util::BoundedRing<StatusReply> m_statusReplies;
-    std::set<std::shared_ptr<CallerSession>> m_callers;
-    std::set<std::weak_ptr<PeerSession>, std::owner_less<>> m_peerSessions;
     std::set<InstanceName> m_listedLeaving;
     FleetView m_view;
     unsigned long m_ticks = 0;
--- a/util/json_reader.cc
+++ b/util/json_reader.cc
@@ -19,10 +19,11 @@
 
 } // namespace
 
-JsonReader::JsonReader(const nlohmann::json& object, std::string path, Faults& faults)
+JsonReader::JsonReader(const nlohmann::json& object, std::string path, Faults& faults, UnknownFields unknown)
     : m_object(object)
     , m_path(std::move(path))
     , m_faults(faults)
+    , m_unknown(unknown)
 {
     if (!m_object.is_object())
         m_faults.push_back({ m_path, "is not an object" });
@@ -101,6 +102,24 @@
     return low;
 }
 
+double JsonReader::decimalOr(const std::string& name, double low, double high, double fallback)
+{
+    return find(name, false) ? decimal(name, low, high) : fallback;
+}
+
+bool JsonReader::has(const std::string& name) const
+{
+    return m_object.is_object() && m_object.contains(name);
+}
+
+void JsonReader::object(const std::string& name, const std::function<void(JsonReader&)>& read)
+{
+    if (const auto* value = find(name, true)) {
+        JsonReader reader(*value, pathOf(name), m_faults, m_unknown);
+        read(reader);
+    }
+}
+
 bool JsonReader::flagOr(const std::string& name, bool fallback)
 {
     const auto* value = find(name, false);
@@ -120,7 +139,8 @@
         return;
     }
     for (std::size_t index = 0; index < array.size(); ++index) {
-        JsonReader reader(array[index], pathOf(name) + "[" + std::to_string(index) + "]", m_faults);
+        JsonReader reader(
+            array[index], pathOf(name) + "[" + std::to_string(index) + "]", m_faults, m_unknown);
         each(reader);
         reader.refuseUnknown();
     }
@@ -177,6 +197,8 @@
 
 void JsonReader::refuseUnknown()
 {
+    if (m_unknown == UnknownFields::PassOver)
+        return;
     if (!m_object.is_object())
         return;
     for (const auto& [name, value] : m_object.items()) {
--- a/util/json_reader.h
+++ b/util/json_reader.h
@@ -14,9 +14,17 @@
 // Reads the fields of one JSON object, notes a fault for each field that is missing, of another type or out
 // of range, and for each field that nobody asked for. Reading goes on after a fault, so that one pass finds
 // them all; a field with a fault yields its default.
+//
+// A reader that passes unknown fields over does so for the objects inside as well.
+enum class UnknownFields {
+    Refuse,
+    PassOver,
+};
+
 class JsonReader {
 public:
-    JsonReader(const nlohmann::json& object, std::string path, Faults& faults);
+    JsonReader(const nlohmann::json& object, std::string path, Faults& faults,
+        UnknownFields unknown = UnknownFields::Refuse);
 
     // Required text of 1 to 200 characters.
     std::string text(const std::string& name);
@@ -29,6 +37,12 @@
         const std::string& name, std::int64_t low, std::int64_t high, std::int64_t fallback);
     // A required decimal number within [low, high].
     double decimal(const std::string& name, double low, double high);
+    // A decimal number within [low, high] that may be missing.
+    double decimalOr(const std::string& name, double low, double high, double fallback);
+    // Whether the field is there.
+    [[nodiscard]] bool has(const std::string& name) const;
+    // A required object.
+    void object(const std::string& name, const std::function<void(JsonReader&)>& read);
     bool flagOr(const std::string& name, bool fallback);
     // A required array of objects.
     void objects(const std::string& name, const std::function<void(JsonReader&)>& each);
@@ -39,7 +53,7 @@
     std::vector<std::vector<std::string>> textListsOr(const std::string& name);
 
     void fault(const std::string& name, const std::string& reason);
-    // Notes a fault for every field that was not read.
+    // Notes a fault for every field that was not read, unless unknown fields are passed over.
     void refuseUnknown();
     [[nodiscard]] std::string pathOf(const std::string& name) const;
 
@@ -52,6 +66,7 @@
     const nlohmann::json& m_object;
     std::string m_path;
     Faults& m_faults;
+    UnknownFields m_unknown;
     std::set<std::string> m_known;
 };
 
