--- a/tarragonhaven/sidecar_main.h
+++ b/tarragonhaven/sidecar_main.h
@@ -6,6 +6,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <memory>
 
 namespace tarragonhaven {
 
@@ -23,18 +24,22 @@
         return exitUsage;
     }
     const auto signals = blockNodeSignals();
-    SidecarNode<Store> node(*settings, dialect,
+    auto node = std::make_unique<SidecarNode<Store>>(*settings, dialect,
         [&settings, &makeStore](boost::asio::io_context& io) { return makeStore(*settings, io); });
-    const auto fault = node.start();
+    const auto fault = node->start();
     if (!fault.empty()) {
         std::fprintf(stderr, "%s\n", fault.c_str());
         return exitFailure;
     }
-    awaitStopSignal(signals, [&node] { node.noteReload(rereadSidecarFlags()); });
-    node.beginStop();
-    if (!awaitDrained(signals, [&node] { return node.drained(); }))
+    awaitStopSignal(signals, [&node] { node->noteReload(rereadSidecarFlags()); });
+    node->beginStop();
+    if (!awaitDrained(signals, [&node] { return node->drained(); }))
         std::_Exit(0);
-    return 0;
+    node.reset();
+    // The log is written by now. Returning would wait for the logging library's thread pool to end, which
+    // keeps the ports of this node for seconds on a machine that has little processor time.
+    std::fflush(stdout);
+    std::_Exit(0);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -134,8 +134,13 @@
 void SidecarTraffic::stop()
 {
     m_io.stop();
-    if (m_thread.joinable())
-        m_thread.join();
+    if (!m_thread.joinable())
+        return;
+    m_thread.join();
+    // Handlers that still wait hold exchanges, which use the entry when they end: let them end before it.
+    m_callers.endAll();
+    m_io.restart();
+    m_io.poll();
 }
 
 ValueFrame SidecarTraffic::value(const std::string& name) { return { name, false, 0, "" }; }
@@ -228,10 +233,8 @@
         m_stopping = true;
         m_stopBegan = util::BootClock::now();
         m_parts.state.ready.store(false);
-        m_guard.drain();
         m_entry.stop();
         m_callers.endAfterAnswers();
-        m_peerSessions.stop();
     });
 }
 
@@ -244,6 +247,8 @@
     if (!std::exchange(m_refusing, true)) {
         m_entry.setReady(false);
         m_callers.closeListener();
+        m_guard.drain();
+        m_peerSessions.stop();
     }
     m_callers.endIdle();
     if (late || (m_callers.empty() && !m_guard.busy()))
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -41,8 +41,9 @@
     // Opens the listening sockets. Returns an empty text, or why that failed.
     std::string open();
     void start();
-    // Begins a planned stop. The guard takes no new work at once; callers are served on for as long as they
-    // may not know of the stop, and what is under way is finished.
+    // Begins a planned stop. Callers and the guard are served on for as long as callers may not know of the
+    // stop, so that the target beside this node is out of reach for a short time only; then what is under way
+    // is finished.
     void beginStop();
     // Ends the thread.
     void stop();
--- a/tarragonhaven/traffic_duty.cc
+++ b/tarragonhaven/traffic_duty.cc
@@ -68,8 +68,13 @@
 void TrafficDuty::stop()
 {
     m_io.stop();
-    if (m_thread.joinable())
-        m_thread.join();
+    if (!m_thread.joinable())
+        return;
+    m_thread.join();
+    // Handlers that still wait hold exchanges, which use the entry when they end: let them end before it.
+    m_callers.endAll();
+    m_io.restart();
+    m_io.poll();
 }
 
 ValueFrame TrafficDuty::value(const std::string& name)
