--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -81,6 +81,7 @@
     void next(const Self& self)
     {
         relaying = false;
+        refusalPending = false;
         closeWatch.stop();
         exchange.reset();
         serializer.reset();
@@ -297,6 +298,7 @@
 
     void sendRefusal(const Self& self, const Refusal& refusal)
     {
+        refusalPending = true;
         refusalResponse.emplace();
         refusalResponse->version(httpVersion11);
         const bool strict = entry.parts().options.dialect.strictRefusals;
@@ -396,6 +398,7 @@
     OrganisationName organisation;
     std::size_t drained = 0;
     bool relaying = false;
+    bool refusalPending = false;
     bool reading = false;
     bool bodyDue = false;
     bool expectsContinue = false;
@@ -427,6 +430,16 @@
         m_rep->end(shared_from_this());
 }
 
+void CallerSession::giveUp()
+{
+    if (!m_rep->relaying || !m_rep->exchange || m_rep->response || m_rep->refusalPending)
+        return;
+    const auto run = m_rep->exchange->mayHaveRun() ? RunState::Unknown : RunState::NotRun;
+    m_rep->exchange->cancel();
+    refuse({ run == RunState::NotRun ? RefusalReason::Stopping : RefusalReason::TargetTimeout, run,
+        util::Duration {}, "the node stops" });
+}
+
 void CallerSession::close() { m_rep->end(shared_from_this()); }
 
 bool CallerSession::busy() const { return m_rep->relaying || m_rep->reading; }
--- a/tarragonhaven/caller_session.h
+++ b/tarragonhaven/caller_session.h
@@ -26,6 +26,8 @@
     void start();
     // Ends the connection after the answer under way, or at once when `evenIdle` and none is.
     void stop(bool evenIdle);
+    // Answers the request under way at once with a refusal, if its answer has not begun.
+    void giveUp();
     void close();
     [[nodiscard]] bool busy() const;
 
--- a/tarragonhaven/caller_set.cc
+++ b/tarragonhaven/caller_set.cc
@@ -47,6 +47,13 @@
     }
 }
 
+void CallerSet::giveUp()
+{
+    const auto sessions = m_sessions;
+    for (const auto& session : sessions)
+        session->giveUp();
+}
+
 void CallerSet::endAll()
 {
     const auto sessions = m_sessions;
--- a/tarragonhaven/caller_set.h
+++ b/tarragonhaven/caller_set.h
@@ -24,6 +24,8 @@
     void endAfterAnswers();
     // Ends the connections that have no request under way, or all.
     void endIdle();
+    // Answers the requests under way at once, as far as their answers have not begun.
+    void giveUp();
     void endAll();
 
     [[nodiscard]] bool empty() const { return m_sessions.empty(); }
--- a/tarragonhaven/control_message.h
+++ b/tarragonhaven/control_message.h
@@ -164,18 +164,20 @@
     friend bool operator==(const TargetReportMessage&, const TargetReportMessage&) = default;
 };
 
-// A node tells what it let through of organisations' requests.
+// A node tells what it admitted, of one QuotaKind.
 struct QuotaReportMessage {
+    int kind = 0;
     std::vector<QuotaUse> uses;
-    MSGPACK_DEFINE_ARRAY(uses);
+    MSGPACK_DEFINE_ARRAY(kind, uses);
 
     friend bool operator==(const QuotaReportMessage&, const QuotaReportMessage&) = default;
 };
 
 // Answers with what all other nodes did.
 struct QuotaElsewhereMessage {
+    int kind = 0;
     std::vector<QuotaElsewhere> elsewhere;
-    MSGPACK_DEFINE_ARRAY(elsewhere);
+    MSGPACK_DEFINE_ARRAY(kind, elsewhere);
 
     friend bool operator==(const QuotaElsewhereMessage&, const QuotaElsewhereMessage&) = default;
 };
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -66,18 +66,6 @@
     markLeaving(m_leaving);
 }
 
-RetryBudget& Entry::retryBudget(const ServiceName& service)
-{
-    return m_retryBudgets.try_emplace(service, m_parts.options.retryBudget).first->second;
-}
-
-void Entry::setRetryBudget(const RetryBudgetOptions& options)
-{
-    m_parts.options.retryBudget = options;
-    for (auto& [service, budget] : m_retryBudgets)
-        budget.update(options);
-}
-
 const CallerLimits& Entry::callerLimits() const
 {
     static const CallerLimits unknown;
@@ -214,6 +202,10 @@
     accepted.context.service = m_splitter.next(accepted.route);
     accepted.context.idempotent = accepted.route.idempotent;
     accepted.context.deadline = deadlineOf(head, accepted.route);
+    const auto patience = util::fromSeconds(
+        m_parts.options.queueShareOfObjective * util::toSeconds(accepted.route.objective));
+    if (patience > util::Duration {})
+        accepted.context.queueUntil = util::BootClock::now() + patience;
     accepted.context.deadlineCoversBody = m_parts.options.deadlineCoversBody;
     accepted.context.callerService = m_parts.options.callerService;
     accepted.context.rank = rankOf(accepted.route, *organisation);
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -10,7 +10,7 @@
 #include "tarragonhaven/peer_pool.h"
 #include "tarragonhaven/request_context.h"
 #include "tarragonhaven/request_id.h"
-#include "tarragonhaven/retry_budget.h"
+#include "tarragonhaven/retry_gate.h"
 #include "tarragonhaven/route_splitter.h"
 #include "tarragonhaven/service_health.h"
 #include "tarragonhaven/target_chooser.h"
@@ -52,6 +52,8 @@
         DataCentreName dataCentre;
         std::uint64_t incarnation = 0;
         EntryOptions options;
+        // Bounds retries over the fleet; null to bound those of this node alone.
+        RetryGate* retries = nullptr;
     };
 
     explicit Entry(Parts parts);
@@ -93,8 +95,7 @@
     [[nodiscard]] const DirectoryPointer& directory() const { return m_directory; }
     [[nodiscard]] const std::map<ServiceName, ServiceHealth>& services() const { return m_services; }
     [[nodiscard]] bool stopping() const { return m_stopping; }
-    [[nodiscard]] RetryBudget& retryBudget(const ServiceName& service);
-    void setRetryBudget(const RetryBudgetOptions& options);
+    [[nodiscard]] RetryGate& retries() { return m_parts.retries ? *m_parts.retries : m_localRetries; }
 
     void logRefusal(
         const std::string& requestId, const OrganisationName& organisation, const Refusal& refusal);
@@ -128,7 +129,7 @@
     // Targets that are left out of choices before the time given.
     std::map<TargetName, util::Time> m_avoided;
     std::map<TargetName, ServiceName> m_serviceOfTarget;
-    std::map<ServiceName, RetryBudget> m_retryBudgets;
+    LocalRetryGate m_localRetries;
     std::map<std::uint64_t, WaitingRequest> m_waiting;
     std::uint64_t m_lastWaiting = 0;
     std::set<InstanceName> m_leaving;
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -13,9 +13,11 @@
 namespace {
 
     // Refusals by guards cost a hop each, so a request that nobody takes gives up after this many.
-    constexpr int mostTries = 8;
+    constexpr int mostTries = 10;
     constexpr std::size_t keptBodyBytes = 64 * 1024;
     constexpr int firstServerErrorStatus = 500;
+    // How long a target is avoided whose guard does not answer or stops.
+    constexpr util::Duration unreachableFor = std::chrono::milliseconds(1500);
     constexpr util::Duration noTargetRetryAfter = std::chrono::seconds(1);
     // A try that has less time left than this reaches no target.
     constexpr util::Duration shortestTry = std::chrono::milliseconds(20);
@@ -52,7 +54,7 @@
 
 void EntryExchange::open(OutcomeHandler<void> handler)
 {
-    m_entry.retryBudget(m_request.context.service).noteFirstTry();
+    m_entry.retries().noteFirstTry(m_request.context.service);
     m_entry.parts().admission.admit(admissionRequest(),
         [self = shared_from_this(), handler = std::move(handler)](Outcome<void> admitted) {
             if (!admitted)
@@ -65,23 +67,31 @@
 }
 
 // Targets with a free slot are looked for first; when none is found in a few tries, the request waits at the
-// one that seems the least loaded.
+// one that seems the least loaded. One that is refused everywhere is tried once more at a target that is held
+// back, if the options say so.
 TargetChoice EntryExchange::choose()
 {
     const auto& options = m_entry.parts().options;
-    ChoiceRequest request { m_request.context.idempotent, m_failed, options.spillLoad };
-    const bool quick = static_cast<int>(m_full.size()) < options.quickRefusals;
-    m_request.context.mayQueue = !quick;
-    if (quick) {
+    auto& context = m_request.context;
+    ChoiceRequest request { context.idempotent, m_failed, options.spillLoad };
+    request.unprovenWeight = context.idempotent ? 0 : options.unprovenWeight;
+    if (static_cast<int>(m_full.size()) < options.quickRefusals) {
+        context.mayQueue = false;
         request.excluded.insert(m_full.begin(), m_full.end());
-        const auto choice = m_entry.choose(m_request.context.service, request);
+        const auto choice = m_entry.choose(context.service, request);
         if (choice.target)
             return choice;
-        request.excluded = m_failed;
-        m_request.context.mayQueue = true;
     }
+    context.mayQueue = true;
+    request.excluded = m_failed;
     request.leastLoaded = options.quickRefusals > 0;
-    return m_entry.choose(m_request.context.service, request);
+    const auto choice = m_entry.choose(context.service, request);
+    if (choice.target || !options.insistAtLast || m_suspect.empty() || context.insists)
+        return choice;
+    context.insists = true;
+    std::erase_if(m_failed, [this](const TargetName& target) { return m_suspect.contains(target); });
+    request.excluded = m_failed;
+    return m_entry.choose(context.service, request);
 }
 
 void EntryExchange::tryTarget(OutcomeHandler<void> handler)
@@ -183,7 +193,7 @@
         return false;
     if (!reachedTarget(refusal))
         return true;
-    if (!m_entry.retryBudget(m_request.context.service).takeRetry(now))
+    if (!m_entry.retries().takeRetry(m_request.context.service))
         return false;
     m_entry.parts().metrics.noteRetry();
     return true;
@@ -200,12 +210,16 @@
         return;
     }
     m_failed.insert(m_target);
+    if (refusal.reason == RefusalReason::TargetSuspect)
+        m_suspect.insert(m_target);
     if (refusal.reason == RefusalReason::PeerUnreachable) {
         if (auto* health = m_entry.health(m_request.context.service))
             health->notePathFailure(m_target);
     }
-    if (refusal.reason == RefusalReason::TargetSuspect || refusal.reason == RefusalReason::PeerUnreachable)
+    if (refusal.reason == RefusalReason::TargetSuspect)
         m_entry.avoid(m_target, refusal.retryAfter);
+    if (refusal.reason == RefusalReason::PeerUnreachable || refusal.reason == RefusalReason::Stopping)
+        m_entry.avoid(m_target, unreachableFor);
     if (refusal.run == RunState::NotRun)
         return;
     ++m_runs;
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -31,6 +31,8 @@
     void readHead(OutcomeHandler<ResponseHead> handler);
     void readBody(OutcomeHandler<BodyChunk> handler);
     void cancel();
+    // Whether a target may have been sent the request.
+    [[nodiscard]] bool mayHaveRun() const { return m_sent || m_unknown.has_value(); }
 
 private:
     using Attempt
@@ -74,6 +76,8 @@
     // reason.
     std::set<TargetName> m_full;
     std::set<TargetName> m_failed;
+    // Those of them that their guards hold back.
+    std::set<TargetName> m_suspect;
     int m_tries = 0;
     // Targets that may have run the request.
     int m_runs = 0;
--- a/tarragonhaven/entry_options.h
+++ b/tarragonhaven/entry_options.h
@@ -2,7 +2,6 @@
 
 #include "tarragonhaven/http_dialect.h"
 #include "tarragonhaven/names.h"
-#include "tarragonhaven/retry_budget.h"
 #include "tarragonhaven/target_standing.h"
 
 #include <cstddef>
@@ -21,6 +20,13 @@
     int quickRefusals = 0;
     // Requests a slot at the targets of a nearer place at which those of the next are used as well.
     double spillLoad = 0.9;
+    // How long a request may wait for a slot, as a share of its route's objective; 0 for its deadline.
+    double queueShareOfObjective = 0;
+    // How much an unproven second adds to a target's cost for requests that cannot be tried again, as a
+    // share.
+    double unprovenWeight = 0;
+    // Whether a request that nobody takes is tried at a target that is held back.
+    bool insistAtLast = false;
     // Whether a target of this node's own instance goes before others of its data centre.
     bool preferOwnInstance = false;
     // Whether an answer under way ends when its caller's key is withdrawn.
@@ -31,7 +37,6 @@
     bool serveWhileStopping = false;
     // Whether requests without a key on open routes go first: targets make them while they run others.
     bool internalFirst = false;
-    RetryBudgetOptions retryBudget;
     StandingOptions standing;
 };
 
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -19,6 +19,12 @@
     // Weight of the newest request in the average time that a slot is held.
     constexpr double holdWeight = 0.1;
 
+    util::Time queueLimit(const RequestContext& context)
+    {
+        return context.queueUntil == util::Time {} ? context.deadline
+                                                   : std::min(context.queueUntil, context.deadline);
+    }
+
     SlotQueueOptions queueOptions(const Target& target)
     {
         return { target.slots, waitingPerSlot * static_cast<std::size_t>(target.slots) };
@@ -52,7 +58,7 @@
     };
     if (m_draining || m_target.leaving)
         return refusal(RefusalReason::Stopping);
-    if (m_breaker && !m_breaker->admits(context.idempotent, now))
+    if (m_breaker && !context.insists && !m_breaker->admits(context.idempotent, now))
         return suspect();
     if (m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0)
         return std::nullopt;
@@ -60,7 +66,7 @@
         return refusal(RefusalReason::NoFreeSlot);
     const auto turns = static_cast<int>(m_queue.waitingBefore(context.rank)) + 1;
     const auto wait = m_typicalHold * turns / std::max(1, m_queue.slots());
-    if (m_options.predictWaits && now + wait + m_typicalHold > context.deadline)
+    if (m_options.predictWaits && now + wait + m_typicalHold > queueLimit(context))
         return refusal(RefusalReason::QueueFull);
     return std::nullopt;
 }
@@ -71,12 +77,13 @@
     const auto now = util::BootClock::now();
     if (!context.entry.text.empty())
         m_entries[context.entry] = now;
-    m_waiting.emplace(ticket, Waiting { std::move(handler), context.idempotent });
+    m_waiting.emplace(ticket, Waiting { std::move(handler), context.insists });
     if (const auto refusal = refusalOnEntry(context)) {
         refuse(ticket, *refusal);
         return ticket;
     }
-    const auto entry = m_queue.enter({ ticket, context.organisation, context.deadline, context.rank }, now);
+    const auto entry
+        = m_queue.enter({ ticket, context.organisation, queueLimit(context), context.rank }, now);
     if (entry.displaced)
         refuse(*entry.displaced, { RefusalReason::QueueFull, RunState::NotRun, queueRetryAfter, "" });
     if (entry.granted)
@@ -148,8 +155,10 @@
     if (!m_breaker || m_breaker->state(util::BootClock::now()) != TargetBreaker::State::Open)
         return;
     std::vector<std::uint64_t> tickets;
-    for (const auto& [ticket, waiting] : m_waiting)
-        tickets.push_back(ticket);
+    for (const auto& [ticket, waiting] : m_waiting) {
+        if (!waiting.insists)
+            tickets.push_back(ticket);
+    }
     for (const auto ticket : tickets) {
         m_queue.leave(ticket);
         refuse(ticket, suspect());
@@ -242,6 +251,7 @@
     const double logLatency = std::log2(std::max(1.0, microseconds));
     m_report.logLatencySum += logLatency;
     ++m_report.answers;
+    m_lastGood = util::BootClock::now();
     m_push.noteAnswer(logLatency);
 }
 
@@ -259,6 +269,10 @@
     m_report.slotsInUse = m_queue.inUse();
     m_report.queued = static_cast<int>(m_queue.waiting());
     m_report.draining = m_draining || m_target.leaving;
+    if (m_lastGood != util::Time {}) {
+        const auto age = util::BootClock::now() - m_lastGood;
+        m_report.provenMs = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    }
     return m_report;
 }
 
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -63,7 +63,7 @@
 private:
     struct Waiting {
         OutcomeHandler<void> handler;
-        bool idempotent = false;
+        bool insists = false;
     };
     // A request at the target.
     struct Running {
@@ -94,6 +94,7 @@
     std::uint64_t m_nextTicket = 1;
     bool m_draining = false;
     TargetReport m_report;
+    util::Time m_lastGood {};
     ReportPush m_push;
     // Requests that wait for their first byte; those that are overdue are noted once.
     std::map<std::uint64_t, Running> m_running;
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -52,10 +52,25 @@
 
 OpenFrame PeerExchange::openFrame() const
 {
-    const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(remaining());
-    return { m_context.requestId, m_context.organisation.text, m_target.text, m_context.idempotent,
-        microseconds.count(), m_head, m_context.callerService.text, m_context.rank, m_context.mayQueue,
-        m_context.deadlineCoversBody };
+    const auto now = util::BootClock::now();
+    const auto microseconds = [](util::Duration time) {
+        return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
+    };
+    OpenFrame frame;
+    frame.requestId = m_context.requestId;
+    frame.organisation = m_context.organisation.text;
+    frame.target = m_target.text;
+    frame.idempotent = m_context.idempotent;
+    frame.remainingUs = microseconds(remaining());
+    frame.head = m_head;
+    frame.callerService = m_context.callerService.text;
+    frame.rank = m_context.rank;
+    frame.mayQueue = m_context.mayQueue;
+    frame.deadlineCoversBody = m_context.deadlineCoversBody;
+    if (m_context.queueUntil != util::Time {})
+        frame.queueUs = std::max<std::int64_t>(1, microseconds(m_context.queueUntil - now));
+    frame.insists = m_context.insists;
+    return frame;
 }
 
 void PeerExchange::open(OutcomeHandler<void> handler)
--- a/tarragonhaven/peer_frame.h
+++ b/tarragonhaven/peer_frame.h
@@ -42,8 +42,11 @@
     int rank = 0;
     bool mayQueue = true;
     bool deadlineCoversBody = false;
+    // How long an answer is worth waiting for in a queue, in microseconds; 0 for as long as the deadline.
+    std::int64_t queueUs = 0;
+    bool insists = false;
     MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, head, callerService, rank,
-        mayQueue, deadlineCoversBody);
+        mayQueue, deadlineCoversBody, queueUs, insists);
 
     friend bool operator==(const OpenFrame&, const OpenFrame&) = default;
 };
--- a/tarragonhaven/quota_admission.cc
+++ b/tarragonhaven/quota_admission.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <iterator>
+#include <limits>
 #include <set>
 
 namespace tarragonhaven {
@@ -20,13 +21,40 @@
     constexpr util::Duration forgetInterval = std::chrono::seconds(2);
     // When an organisation over its limit may come back: a tenth of the usual window.
     constexpr util::Duration retryAfter = std::chrono::milliseconds(500);
+    // What is used of the bound on retries; the rest is for those that targets count otherwise, such as calls
+    // of a repeated run.
+    constexpr double retryShareUsed = 0.75;
+
+    QuotaOptions requestOptions(const FleetPolicy& policy)
+    {
+        QuotaOptions options;
+        options.window = policy.quotaWindow;
+        options.overshoot = policy.quotaOvershoot;
+        options.slack = policy.quotaSlack;
+        return options;
+    }
+
+    // Retries are few, so their counts are told lazily.
+    QuotaOptions retryOptions(const FleetPolicy& policy)
+    {
+        QuotaOptions options;
+        options.window = policy.retryWindow;
+        options.overshoot = 0;
+        options.slack = 0;
+        options.eagerAsks = std::numeric_limits<int>::max();
+        return options;
+    }
 
 } // namespace
 
+QuotaAdmission::Ledger QuotaAdmission::makeLedger(const QuotaOptions& options)
+{
+    return { WindowQuota(options, util::BootClock::now()), QuotaTotals(options.window) };
+}
+
 QuotaAdmission::QuotaAdmission(Parts parts)
     : m_parts(std::move(parts))
-    , m_quota(m_parts.options, util::BootClock::now())
-    , m_totals(m_parts.options.window)
+    , m_ledgers { makeLedger(requestOptions(m_parts.policy)), makeLedger(retryOptions(m_parts.policy)) }
 {
 }
 
@@ -45,35 +73,47 @@
     m_keepers.clear();
 }
 
-InstanceName QuotaAdmission::keeperOf(const std::string& organisation)
+InstanceName QuotaAdmission::keeperOf(QuotaKind kind, const std::string& name)
 {
-    const auto known = m_keepers.find(organisation);
+    const auto known = m_keepers.find({ kind, name });
     if (known != m_keepers.end())
         return known->second;
     InstanceName keeper;
-    for (const auto& candidate : rendezvousOrder(organisation, m_nodes)) {
+    for (const auto& candidate : rendezvousOrder(name, m_nodes)) {
         if (m_silent.contains({ candidate }))
             continue;
         keeper = { candidate };
         break;
     }
-    m_keepers.emplace(organisation, keeper);
+    m_keepers.emplace(std::pair(kind, name), keeper);
     return keeper;
 }
 
+double QuotaAdmission::limitOf(const Organisation& organisation) const
+{
+    return organisation.ratePerSecond * util::toSeconds(m_parts.policy.quotaWindow) + organisation.burst;
+}
+
+QuotaDecision QuotaAdmission::decide(const Organisation& organisation)
+{
+    return ledger(QuotaKind::Requests)
+        .quota.decide(organisation.name.text, limitOf(organisation), m_nodes.size(), util::BootClock::now());
+}
+
 void QuotaAdmission::admit(const AdmissionRequest& request, OutcomeHandler<void> handler)
 {
     const auto* organisation
         = m_configuration ? m_configuration->organisation(request.organisation) : nullptr;
-    if (request.organisation.text.empty() || !organisation)
+    const bool limited = organisation && organisation->ratePerSecond > 0;
+    if (!limited)
         return handler({});
     const auto now = util::BootClock::now();
-    m_quota.noteAsked(organisation->name, now);
-    const auto decision = m_quota.decide(*organisation, m_nodes.size(), now);
+    ledger(QuotaKind::Requests).quota.noteAsked(organisation->name.text, now);
+    const auto decision = decide(*organisation);
     if (decision.admitted || decision.reason != QuotaReason::BeyondEvenPart)
         return conclude(decision, handler);
     m_waiting.push_back({ organisation->name, std::move(handler), now + askTimeout });
-    report({ organisation->name });
+    report(QuotaKind::Requests, organisation->name.text);
 }
 
 void QuotaAdmission::conclude(const QuotaDecision& decision, const OutcomeHandler<void>& handler)
@@ -84,11 +124,25 @@
     const auto detail = absl::StrCat(std::string(name(decision.reason)), ", own ", decision.own,
         ", elsewhere ", decision.elsewhere, " of ", decision.limit, ", known for ", age, " ms");
     boost::asio::post(m_parts.io, [handler, detail] {
-        handler(
-            tl::unexpected(Refusal { RefusalReason::RateExceeded, RunState::NotRun, retryAfter, detail }));
+        handler(tl::unexpected(Refusal { RefusalReason::RateExceeded, RunState::NotRun, retryAfter, detail }));
     });
 }
 
+void QuotaAdmission::noteFirstTry(const ServiceName& service)
+{
+    ledger(QuotaKind::Retries).quota.noteAsked(service.text, util::BootClock::now());
+}
+
+bool QuotaAdmission::takeRetry(const ServiceName& service)
+{
+    const auto now = util::BootClock::now();
+    auto& quota = ledger(QuotaKind::Retries).quota;
+    const auto& policy = m_parts.policy;
+    const double limit = retryShareUsed
+        * (policy.retryShare * quota.askedEverywhere(service.text, now) + policy.retrySlack);
+    return quota.decide(service.text, limit, m_nodes.size(), now).admitted;
+}
+
 // Decides again on the requests of an organisation whose use elsewhere has become known, or will not in time.
 void QuotaAdmission::settleWaiting(const std::string& organisation)
 {
@@ -99,10 +153,10 @@
     m_waiting.erase(first, m_waiting.end());
     const auto* declared = m_configuration->organisation({ organisation });
     for (const auto& waiting : settled) {
-        if (!declared)
-            waiting.handler({});
+        if (declared)
+            conclude(decide(*declared), waiting.handler);
         else
-            conclude(m_quota.decide(*declared, m_nodes.size(), util::BootClock::now()), waiting.handler);
+            waiting.handler({});
     }
 }
 
@@ -120,19 +174,28 @@
 void QuotaAdmission::receive(
     const Endpoint& source, const InstanceName& from, const QuotaReportMessage& message)
 {
+    if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
+        return;
+    auto& totals = ledger(static_cast<QuotaKind>(message.kind)).totals;
     QuotaElsewhereMessage answer;
+    answer.kind = message.kind;
     for (const auto& use : message.uses)
-        answer.elsewhere.push_back(m_totals.note(from, use, util::BootClock::now()));
+        answer.elsewhere.push_back(totals.note(from, use, util::BootClock::now()));
     m_parts.socket.send(source, std::move(answer));
 }
 
 void QuotaAdmission::receive(const InstanceName& from, const QuotaElsewhereMessage& message)
 {
+    if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
+        return;
     m_unanswered.erase(from);
+    const auto kind = static_cast<QuotaKind>(message.kind);
     for (const auto& elsewhere : message.elsewhere)
-        m_quota.noteElsewhere(elsewhere, util::BootClock::now());
+        ledger(kind).quota.noteElsewhere(elsewhere, util::BootClock::now());
+    if (kind != QuotaKind::Requests)
+        return;
     for (const auto& elsewhere : message.elsewhere)
-        settleWaiting(elsewhere.organisation);
+        settleWaiting(elsewhere.name);
 }
 
 void QuotaAdmission::noteSilence(util::Time now)
@@ -151,16 +214,17 @@
         m_keepers.clear();
 }
 
-void QuotaAdmission::report(const std::set<OrganisationName>& urgent)
+void QuotaAdmission::report(QuotaKind kind, const std::string& urgent)
 {
     const auto now = util::BootClock::now();
+    auto& [quota, totals] = ledger(kind);
     std::map<InstanceName, QuotaReportMessage> reports;
     std::vector<std::string> kept;
-    for (auto& use : m_quota.takeReports(now, urgent)) {
-        const auto keeper = keeperOf(use.organisation);
+    for (auto& use : quota.takeReports(now, urgent)) {
+        const auto keeper = keeperOf(kind, use.name);
         if (keeper == m_parts.self) {
-            m_quota.noteElsewhere(m_totals.note(m_parts.self, use, now), now);
-            kept.push_back(use.organisation);
+            quota.noteElsewhere(totals.note(m_parts.self, use, now), now);
+            kept.push_back(use.name);
         } else if (!keeper.text.empty()) {
             reports[keeper].uses.push_back(std::move(use));
         }
@@ -169,11 +233,14 @@
         const auto* instance = m_directory->instance(keeper);
         if (!instance)
             continue;
+        report.kind = static_cast<int>(kind);
         m_unanswered.try_emplace(keeper, now);
         m_parts.socket.send(instance->peerAddress, std::move(report));
     }
-    for (const auto& organisation : kept)
-        settleWaiting(organisation);
+    if (kind != QuotaKind::Requests)
+        return;
+    for (const auto& name : kept)
+        settleWaiting(name);
 }
 
 void QuotaAdmission::tick()
@@ -181,12 +248,15 @@
     const auto now = util::BootClock::now();
     noteSilence(now);
     expireWaiting(now);
-    report({});
+    report(QuotaKind::Requests, {});
+    report(QuotaKind::Retries, {});
     if (now < m_nextForget)
         return;
     m_nextForget = now + forgetInterval;
-    m_quota.forget(now);
-    m_totals.forget(now);
+    for (auto& [quota, totals] : m_ledgers) {
+        quota.forget(now);
+        totals.forget(now);
+    }
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/quota_admission.h
+++ b/tarragonhaven/quota_admission.h
@@ -4,28 +4,32 @@
 #include "tarragonhaven/configuration.h"
 #include "tarragonhaven/datagram_socket.h"
 #include "tarragonhaven/directory.h"
+#include "tarragonhaven/fleet_policy.h"
 #include "tarragonhaven/log_channel.h"
 #include "tarragonhaven/quota_totals.h"
+#include "tarragonhaven/retry_gate.h"
 #include "tarragonhaven/window_quota.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <map>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace tarragonhaven {
 
-// Admission of nodes that discover their targets: organisations' limits over sliding windows, kept together
-// with the other nodes by datagrams. It knows no idempotency keys. Belongs to the traffic thread.
-class QuotaAdmission : public Admission {
+// Admission of nodes that discover their targets: organisations' limits and services' bounds on retries over
+// sliding windows, kept together with the other nodes by datagrams. It knows no idempotency keys. Belongs to
+// the traffic thread.
+class QuotaAdmission : public Admission, public RetryGate {
 public:
     struct Parts {
         boost::asio::io_context& io;
         DatagramSocket& socket;
         LogChannel& log;
         InstanceName self;
-        QuotaOptions options;
+        FleetPolicy policy;
     };
 
     explicit QuotaAdmission(Parts parts);
@@ -34,6 +38,8 @@
     void admit(const AdmissionRequest& request, OutcomeHandler<void> handler) override;
     void settle(const AdmissionRequest&, IdentityOutcome, int) override { }
     std::string issueIdentity(const OrganisationName&) override { return {}; }
+    void noteFirstTry(const ServiceName& service) override;
+    bool takeRetry(const ServiceName& service) override;
 
     void receive(const Endpoint& source, const InstanceName& from, const QuotaReportMessage& message);
     void receive(const InstanceName& from, const QuotaElsewhereMessage& message);
@@ -41,6 +47,11 @@
     void tick();
 
 private:
+    // The counts of one kind: those of this node, and those that it adds up for others.
+    struct Ledger {
+        WindowQuota quota;
+        QuotaTotals totals;
+    };
     // A request that waits for word on use elsewhere.
     struct Waiting {
         OrganisationName organisation;
@@ -48,10 +59,14 @@
         util::Time until {};
     };
 
-    // The node that adds up an organisation's use; empty when there is none.
-    [[nodiscard]] InstanceName keeperOf(const std::string& organisation);
+    static Ledger makeLedger(const QuotaOptions& options);
+    Ledger& ledger(QuotaKind kind) { return m_ledgers.at(static_cast<std::size_t>(kind)); }
+    [[nodiscard]] double limitOf(const Organisation& organisation) const;
+    QuotaDecision decide(const Organisation& organisation);
+    // The node that adds up what is admitted under a name; empty when there is none.
+    [[nodiscard]] InstanceName keeperOf(QuotaKind kind, const std::string& name);
     void noteSilence(util::Time now);
-    void report(const std::set<OrganisationName>& urgent);
+    void report(QuotaKind kind, const std::string& urgent);
     void settleWaiting(const std::string& organisation);
     void expireWaiting(util::Time now);
     void conclude(const QuotaDecision& decision, const OutcomeHandler<void>& handler);
@@ -60,10 +75,9 @@
     ConfigurationPointer m_configuration;
     DirectoryPointer m_directory;
     std::vector<std::string> m_nodes;
-    WindowQuota m_quota;
-    QuotaTotals m_totals;
+    std::array<Ledger, 2> m_ledgers;
     std::vector<Waiting> m_waiting;
-    std::map<std::string, InstanceName> m_keepers;
+    std::map<std::pair<QuotaKind, std::string>, InstanceName> m_keepers;
     // Reports without an answer yet, by keeper, and keepers that did not answer, until when they are avoided.
     std::map<InstanceName, util::Time> m_unanswered;
     std::map<InstanceName, util::Time> m_silent;
--- a/tarragonhaven/quota_totals.cc
+++ b/tarragonhaven/quota_totals.cc
@@ -8,13 +8,13 @@
 
 QuotaElsewhere QuotaTotals::note(const InstanceName& node, const QuotaUse& use, util::Time now)
 {
-    auto& nodes = m_organisations[use.organisation];
+    auto& nodes = m_names[use.name];
     std::erase_if(nodes, [this, now](const auto& item) { return now - item.second.at >= m_window; });
     double admitted = 0;
     double asked = 0;
     double young = use.young ? use.asked : 0;
-    for (const auto& [name, reported] : nodes) {
-        if (name == node)
+    for (const auto& [other, reported] : nodes) {
+        if (other == node)
             continue;
         const double kept = 1 - util::toSeconds(now - reported.at) / util::toSeconds(m_window);
         admitted += kept * reported.use.admitted;
@@ -23,15 +23,15 @@
     }
     nodes[node] = { use, now };
     const double all = asked + use.asked;
-    return { use.organisation, static_cast<std::uint32_t>(std::lround(admitted)),
+    return { use.name, static_cast<std::uint32_t>(std::lround(admitted)),
         static_cast<std::uint32_t>(std::lround(asked)), all > 0 ? young / all : 0 };
 }
 
 void QuotaTotals::forget(util::Time now)
 {
-    for (auto& [organisation, nodes] : m_organisations)
+    for (auto& [name, nodes] : m_names)
         std::erase_if(nodes, [this, now](const auto& node) { return now - node.second.at >= m_window; });
-    std::erase_if(m_organisations, [](const auto& item) { return item.second.empty(); });
+    std::erase_if(m_names, [](const auto& item) { return item.second.empty(); });
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/quota_totals.h
+++ b/tarragonhaven/quota_totals.h
@@ -9,8 +9,7 @@
 
 namespace tarragonhaven {
 
-// Adds up what nodes report of organisations' requests. The node that a hash names for an organisation does
-// this; it decides nothing, and keeps nothing that the next reports would not bring again. The use that a
+// Adds up what nodes report under names. The node that a hash finds for a name does this; it decides nothing, and keeps nothing that the next reports would not bring again. The use that a
 // node reported fades over a window after its last report, as it does at the node itself.
 class QuotaTotals {
 public:
@@ -21,10 +20,10 @@
 
     // Takes in a node's use and returns that of all others.
     QuotaElsewhere note(const InstanceName& node, const QuotaUse& use, util::Time now);
-    // Drops organisations that nobody has reported for a window.
+    // Drops names that nobody has reported for a window.
     void forget(util::Time now);
 
-    [[nodiscard]] std::size_t size() const { return m_organisations.size(); }
+    [[nodiscard]] std::size_t size() const { return m_names.size(); }
 
 private:
     struct Reported {
@@ -33,7 +32,7 @@
     };
 
     util::Duration m_window;
-    std::map<std::string, std::map<InstanceName, Reported>> m_organisations;
+    std::map<std::string, std::map<InstanceName, Reported>> m_names;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/quota_use.h
+++ b/tarragonhaven/quota_use.h
@@ -7,14 +7,22 @@
 
 namespace tarragonhaven {
 
-// What one node has let through of an organisation's requests in the window, and what was asked of it.
+// What is limited over all nodes.
+enum class QuotaKind {
+    // Requests, by organisation.
+    Requests = 0,
+    // Second and further tries, by service; what is asked for are first tries.
+    Retries = 1,
+};
+
+// What one node has admitted under a name in the window, and what was asked of it.
 struct QuotaUse {
-    std::string organisation;
+    std::string name;
     std::uint32_t admitted = 0;
     std::uint32_t asked = 0;
-    // Whether the node has run for less than the window, so that it does not know all that it let through.
+    // Whether the node has run for less than the window, so that it does not know all that it admitted.
     bool young = false;
-    MSGPACK_DEFINE_ARRAY(organisation, admitted, asked, young);
+    MSGPACK_DEFINE_ARRAY(name, admitted, asked, young);
 
     friend auto operator<=>(const QuotaUse&, const QuotaUse&) = default;
     friend bool operator==(const QuotaUse&, const QuotaUse&) = default;
@@ -22,12 +30,12 @@
 
 // The same of all nodes but the one that is told.
 struct QuotaElsewhere {
-    std::string organisation;
+    std::string name;
     std::uint32_t admitted = 0;
     std::uint32_t asked = 0;
     // The share of those that were asked of young nodes, from 0 to 1.
     double youngShare = 0;
-    MSGPACK_DEFINE_ARRAY(organisation, admitted, asked, youngShare);
+    MSGPACK_DEFINE_ARRAY(name, admitted, asked, youngShare);
 
     friend auto operator<=>(const QuotaElsewhere&, const QuotaElsewhere&) = default;
     friend bool operator==(const QuotaElsewhere&, const QuotaElsewhere&) = default;
--- a/tarragonhaven/request_context.h
+++ b/tarragonhaven/request_context.h
@@ -25,6 +25,10 @@
     int rank = 0;
     // Whether the request may wait for a slot; else a guard without a free one refuses it at once.
     bool mayQueue = true;
+    // The latest time at which an answer is still worth waiting for in a queue; zero for the deadline.
+    util::Time queueUntil {};
+    // Whether the request is to be tried though the guard would hold it back, since nobody else takes it.
+    bool insists = false;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -27,6 +27,8 @@
     constexpr util::Duration othersPatience = std::chrono::seconds(2);
     constexpr util::Duration keptLogInterval = std::chrono::seconds(5);
     constexpr int percent = 100;
+    // Beyond this a good answer says nothing of the present, in seconds.
+    constexpr double longestUnproven = 4;
 
     // An answer on probation proves nothing if it is slower than the others' by more than this base-2
     // logarithm.
@@ -393,6 +395,15 @@
     return decisions;
 }
 
+double ServiceHealth::unprovenSeconds(const State& state, util::Time now)
+{
+    const auto& report = state.evidence.lastReport();
+    if (report.provenMs < 0 || state.lastReport == util::Time {})
+        return longestUnproven;
+    const auto age = now - state.lastReport + std::chrono::milliseconds(report.provenMs);
+    return std::min(longestUnproven, util::toSeconds(age));
+}
+
 std::vector<TargetView> ServiceHealth::views(util::Time now) const
 {
     std::vector<double> latencies;
@@ -413,6 +424,7 @@
         view.load = static_cast<double>(std::max(reported, state.inFlight)) / state.target.slots;
         if (state.evidence.samples() >= fewestSamples)
             view.slowdown = std::max(1.0, std::exp2(state.evidence.logLatency() - typical));
+        view.unprovenSeconds = unprovenSeconds(state, now);
         result.push_back(view);
     }
     return result;
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -51,6 +51,8 @@
     double load = 0;
     // How many times slower than the service's median its first bytes are; at least 1.
     double slowdown = 1;
+    // Seconds since the target's last good answer, as far as this node knows; bounded.
+    double unprovenSeconds = 0;
 };
 
 // One node's view of the targets of one service: evidence, standings and the ejections that follow from them.
@@ -109,6 +111,7 @@
     };
     using States = std::map<TargetName, State>;
 
+    static double unprovenSeconds(const State& state, util::Time now);
     static bool countsForFloor(const State& state);
     [[nodiscard]] std::vector<double> sortedScores() const;
     static double excessOf(double own, const std::vector<double>& sorted);
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -17,12 +17,12 @@
     constexpr std::size_t bufferedAnswerBytes = 1024 * 1024;
     constexpr int quickRefusals = 3;
     constexpr double spillLoad = 0.7;
+    // An answer after the objective is worth less, but something.
+    constexpr double queueShareOfObjective = 1.5;
+    constexpr double unprovenWeight = 0.5;
     constexpr util::Duration targetSilence = std::chrono::seconds(3);
     constexpr util::Duration connectTimeout = std::chrono::milliseconds(500);
     constexpr util::Duration targetIdleLimit = std::chrono::seconds(8);
-    // What is left of the bound on retries for those that targets count otherwise, such as calls of a
-    // repeated run.
-    constexpr double retryShareUsed = 0.75;
     // Callers learn of a stop by two misses of readiness, a second apart; until then they are served.
     constexpr util::Duration servedAfterStop = std::chrono::milliseconds(2600);
     // Before the end of the grace period, to close connections.
@@ -59,6 +59,9 @@
         options.bufferedAnswerBytes = bufferedAnswerBytes;
         options.quickRefusals = quickRefusals;
         options.spillLoad = spillLoad;
+    options.queueShareOfObjective = queueShareOfObjective;
+    options.unprovenWeight = unprovenWeight;
+    options.insistAtLast = true;
         options.preferOwnInstance = true;
         options.endAnswersOfWithdrawnKeys = false;
         options.deadlineCoversBody = true;
@@ -68,15 +71,6 @@
         return options;
     }
 
-    QuotaOptions quotaOptions(const FleetPolicy& policy)
-    {
-        QuotaOptions options;
-        options.window = policy.quotaWindow;
-        options.overshoot = policy.quotaOvershoot;
-        options.slack = policy.quotaSlack;
-        return options;
-    }
-
 } // namespace
 
 SidecarTraffic::SidecarTraffic(Parts parts)
@@ -84,11 +78,10 @@
     , m_guard(m_io, m_parts.settings.instance, m_parts.hello.incarnation, guardOptions(m_parts.dialect))
     , m_peers(m_io, m_parts.hello, connectTimeout)
     , m_socket(m_io, m_parts.settings.fleet, m_parts.settings.instance, m_parts.hello.incarnation)
-    , m_admission(
-          { m_io, m_socket, m_parts.log, m_parts.settings.instance, quotaOptions(m_parts.settings.policy) })
+    , m_admission({ m_io, m_socket, m_parts.log, m_parts.settings.instance, m_parts.settings.policy })
     , m_entry({ m_io, m_guard, m_peers, m_admission, m_parts.log, m_metrics, m_parts.settings.instance,
           m_parts.settings.dataCentre, m_parts.hello.incarnation,
-          entryOptions(m_parts.settings, m_parts.dialect) })
+          entryOptions(m_parts.settings, m_parts.dialect), &m_admission })
     , m_callers(m_io, m_entry, maximumConnections)
     , m_peerSessions(m_io, *this, m_parts.hello)
     , m_tickTimer(m_io)
@@ -166,27 +159,11 @@
         m_guard.apply(*m_directory);
     m_admission.apply(m_configuration, m_directory);
     m_entry.apply(m_configuration, m_directory);
-    m_entry.setRetryBudget(retryBudget());
     const bool ready = m_configuration && m_directory;
     m_entry.setReady(ready);
     m_parts.state.ready.store(ready && !m_stopping);
 }
 
-// The fleet's bound divided evenly. What a node may hold at once and what time brings in a window add up to
-// its part.
-RetryBudgetOptions SidecarTraffic::retryBudget() const
-{
-    const auto& policy = m_parts.settings.policy;
-    const auto nodes = m_directory ? std::max<std::size_t>(1, m_directory->instances().size()) : 1;
-    const double part = retryShareUsed * policy.retrySlack / static_cast<double>(nodes);
-    RetryBudgetOptions options;
-    options.sharePerFirstTry = retryShareUsed * policy.retryShare;
-    options.maximumEarned = std::max(1.0, part / 2);
-    options.perSecond = std::max(0.0, part - options.maximumEarned) / util::toSeconds(policy.retryWindow);
-    options.initiallyEarned = options.maximumEarned / 2;
-    return options;
-}
-
 void SidecarTraffic::handleDatagram(const Endpoint& source, const ControlEnvelope& envelope)
 {
     if (const auto* report = std::get_if<QuotaReportMessage>(&envelope.message))
@@ -250,6 +227,10 @@
         m_guard.drain();
         m_peerSessions.stop();
     }
+    if (late && !std::exchange(m_gaveUp, true)) {
+        m_callers.giveUp();
+        return;
+    }
     m_callers.endIdle();
     if (late || (m_callers.empty() && !m_guard.busy()))
         m_parts.state.drained.store(true);
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -59,7 +59,6 @@
     void handleEvent(DiscoveryEvent event);
     void handleDatagram(const Endpoint& source, const ControlEnvelope& envelope);
     void applyView();
-    [[nodiscard]] RetryBudgetOptions retryBudget() const;
     void tellEntries();
     void everyTick();
     void drainTick();
@@ -83,6 +82,7 @@
     unsigned long m_ticks = 0;
     bool m_stopping = false;
     bool m_refusing = false;
+    bool m_gaveUp = false;
     util::Time m_stopBegan {};
     std::thread m_thread;
 };
--- a/tarragonhaven/target_chooser.cc
+++ b/tarragonhaven/target_chooser.cc
@@ -9,9 +9,10 @@
 
 namespace tarragonhaven {
 
-double costOf(const TargetView& view)
+double costOf(const TargetView& view, double unprovenWeight)
 {
-    return (1 + view.load) * view.slowdown / std::max(view.weight, chooser_detail::probationChance);
+    const double unproven = 1 + unprovenWeight * view.unprovenSeconds;
+    return (1 + view.load) * view.slowdown * unproven / std::max(view.weight, chooser_detail::probationChance);
 }
 
 namespace chooser_detail {
@@ -42,14 +43,16 @@
         return views;
     }
 
-    TargetChoice cheapest(const std::vector<const TargetView*>& views)
+    TargetChoice cheapest(const std::vector<const TargetView*>& views, double unprovenWeight)
     {
         const auto best = std::min_element(views.begin(), views.end(),
-            [](const TargetView* a, const TargetView* b) { return costOf(*a) < costOf(*b); });
+            [unprovenWeight](const TargetView* a, const TargetView* b) {
+                return costOf(*a, unprovenWeight) < costOf(*b, unprovenWeight);
+            });
         if (best == views.end())
             return { nullptr, {}, "no usable target" };
         const auto* target = (*best)->target;
-        return { target, { { target->name, costOf(**best) } }, "cheapest of all" };
+        return { target, { { target->name, costOf(**best, unprovenWeight) } }, "cheapest of all" };
     }
 
     std::vector<const TargetView*> onProbation(
--- a/tarragonhaven/target_chooser.h
+++ b/tarragonhaven/target_chooser.h
@@ -36,12 +36,15 @@
     std::set<TargetName> excluded;
     // Requests a slot at which the targets of a nearer place have no room for more.
     double spillLoad = 0.9;
+    // How much an unproven second adds to the cost of a target, as a share. A request that cannot be tried
+    // again goes rather to targets that answered well a moment ago.
+    double unprovenWeight = 0;
     // Takes the cheapest of all targets that may be used, wherever it is.
     bool leastLoaded = false;
 };
 
 // The cost of sending a request to a target.
-double costOf(const TargetView& view);
+double costOf(const TargetView& view, double unprovenWeight = 0);
 
 // Chooses a target by two random draws, weighted by slots and standing, of which the cheaper is taken.
 // Nearer targets come first until all of them are loaded to `spillLoad` requests a slot.
@@ -61,7 +64,7 @@
     std::vector<const TargetView*> onProbation(
         const std::vector<TargetView>& views, const ChoiceRequest& request);
 
-    TargetChoice cheapest(const std::vector<const TargetView*>& views);
+    TargetChoice cheapest(const std::vector<const TargetView*>& views, double unprovenWeight);
 
     template <typename Random>
     const TargetView* draw(const std::vector<const TargetView*>& views, Random& random)
@@ -92,18 +95,20 @@
         return { view->target, { { view->target->name, costOf(*view) } }, "probation" };
     }
     if (request.leastLoaded)
-        return chooser_detail::cheapest(chooser_detail::usable(views, request));
+        return chooser_detail::cheapest(
+            chooser_detail::usable(views, request), request.unprovenWeight);
     const auto candidates
         = chooser_detail::preferred(chooser_detail::usable(views, request), request.spillLoad, distance);
     if (candidates.empty())
         return { nullptr, {}, "no usable target" };
     const auto* first = chooser_detail::draw(candidates, random);
     const auto* second = chooser_detail::draw(candidates, random);
-    const auto* better = costOf(*second) < costOf(*first) ? second : first;
+    const double firstCost = costOf(*first, request.unprovenWeight);
+    const double secondCost = costOf(*second, request.unprovenWeight);
+    const auto* better = secondCost < firstCost ? second : first;
     TargetChoice choice;
     choice.target = better->target;
-    choice.alternatives
-        = { { first->target->name, costOf(*first) }, { second->target->name, costOf(*second) } };
+    choice.alternatives = { { first->target->name, firstCost }, { second->target->name, secondCost } };
     choice.reason = first == second ? "only draw" : "cheaper of two draws";
     return choice;
 }
--- a/tarragonhaven/target_report.h
+++ b/tarragonhaven/target_report.h
@@ -22,8 +22,10 @@
     std::uint64_t overdue = 0;
     // Sum of log2 of the microseconds to the first byte, over answers.
     double logLatencySum = 0;
+    // Milliseconds since the last good answer; -1 when there was none.
+    std::int64_t provenMs = -1;
     MSGPACK_DEFINE_ARRAY(incarnation, sequence, slots, slotsInUse, queued, draining, answers, failures,
-        overdue, logLatencySum);
+        overdue, logLatencySum, provenMs);
 
     friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
--- a/tarragonhaven/window_quota.cc
+++ b/tarragonhaven/window_quota.cc
@@ -22,8 +22,6 @@
 std::string_view name(QuotaReason reason)
 {
     switch (reason) {
-    case QuotaReason::Unlimited:
-        return "unlimited";
     case QuotaReason::FarBelow:
         return "far-below";
     case QuotaReason::WithinShare:
@@ -35,39 +33,51 @@
     case QuotaReason::BeyondEvenPart:
         return "beyond-even-part";
     }
-    return "unlimited";
+    return "far-below";
 }
 
-void WindowQuota::noteAsked(const OrganisationName& organisation, util::Time now)
+WindowQuota::Use& WindowQuota::useOf(const std::string& name)
 {
-    auto& use = m_uses.try_emplace(organisation, m_options.window).first->second;
+    return m_uses.try_emplace(name, m_options.window).first->second;
+}
+
+void WindowQuota::noteAsked(const std::string& name, util::Time now)
+{
+    auto& use = useOf(name);
     use.asked.add(now);
     use.lastAsked = now;
-    use.unreported = true;
+    ++use.asksUnreported;
 }
 
-QuotaDecision WindowQuota::decide(const Organisation& organisation, std::size_t nodes, util::Time now)
+QuotaDecision WindowQuota::decide(const std::string& name, double limit, std::size_t nodes, util::Time now)
 {
-    if (organisation.ratePerSecond <= 0)
-        return { true, QuotaReason::Unlimited, 0, 0, 0, {} };
-    auto& use = m_uses.try_emplace(organisation.name, m_options.window).first->second;
-    const double limit = organisation.ratePerSecond * util::toSeconds(m_options.window) + organisation.burst;
+    auto& use = useOf(name);
     const auto decision = judge(use, limit, nodes, now);
     if (decision.admitted)
         use.admitted.add(now);
     return decision;
 }
 
+bool WindowQuota::known(const Use& use, util::Time now) const
+{
+    return use.elsewhere && now - use.elsewhereAt <= m_options.freshFor;
+}
+
+double WindowQuota::askedEverywhere(const std::string& name, util::Time now)
+{
+    auto& use = useOf(name);
+    return use.asked.sum(now) + (known(use, now) ? use.elsewhere->asked : 0.0);
+}
+
 QuotaDecision WindowQuota::judge(Use& use, double limit, std::size_t nodes, util::Time now) const
 {
     const double bound = limit * (1 + m_options.overshoot) + m_options.slack;
     const auto own = use.admitted.sum(now);
     const auto asked = use.asked.sum(now);
     const auto age = now - use.elsewhereAt;
-    if (!use.elsewhere || age > m_options.freshFor) {
-        const double part
-            = std::max(1.0, evenShare * bound / static_cast<double>(std::max<std::size_t>(1, nodes)));
-        const bool within = own + 1 <= part;
+    if (!known(use, now)) {
+        const double even = evenShare * bound / static_cast<double>(std::max<std::size_t>(1, nodes));
+        const bool within = own + 1 <= std::max(1.0, even);
         return { within, within ? QuotaReason::WithinEvenPart : QuotaReason::BeyondEvenPart, own, 0, limit,
             age };
     }
@@ -83,24 +93,32 @@
 
 void WindowQuota::noteElsewhere(const QuotaElsewhere& elsewhere, util::Time now)
 {
-    const auto found = m_uses.find({ elsewhere.organisation });
+    const auto found = m_uses.find(elsewhere.name);
     if (found == m_uses.end())
         return;
     found->second.elsewhere = elsewhere;
     found->second.elsewhereAt = now;
 }
 
-std::vector<QuotaUse> WindowQuota::takeReports(util::Time now, const std::set<OrganisationName>& urgent)
+bool WindowQuota::due(const Use& use, util::Time now) const
+{
+    const auto since = now - use.lastReport;
+    if (use.asksUnreported == 0)
+        return false;
+    return since >= m_options.lazyInterval
+        || (since >= m_options.eagerInterval && use.asksUnreported >= m_options.eagerAsks);
+}
+
+std::vector<QuotaUse> WindowQuota::takeReports(util::Time now, const std::string& urgent)
 {
     std::vector<QuotaUse> reports;
     const bool young = now - m_started < m_options.window;
-    for (auto& [organisation, use] : m_uses) {
-        const bool due = use.unreported && now - use.lastReport >= m_options.reportInterval;
-        if (!due && !urgent.contains(organisation))
+    for (auto& [name, use] : m_uses) {
+        if (!due(use, now) && (urgent.empty() || name != urgent))
             continue;
-        use.unreported = false;
+        use.asksUnreported = 0;
         use.lastReport = now;
-        reports.push_back({ organisation.text, use.admitted.sum(now), use.asked.sum(now), young });
+        reports.push_back({ name, use.admitted.sum(now), use.asked.sum(now), young });
     }
     return reports;
 }
--- a/tarragonhaven/window_quota.h
+++ b/tarragonhaven/window_quota.h
@@ -1,36 +1,39 @@
 #pragma once
 
-#include "tarragonhaven/names.h"
-#include "tarragonhaven/organisation.h"
 #include "tarragonhaven/quota_use.h"
 #include "tarragonhaven/sliding_count.h"
 #include "util/time.h"
 
+#include <compare>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace tarragonhaven {
 
 struct QuotaOptions {
     util::Duration window = std::chrono::seconds(5);
-    // By how much the sum over all nodes may exceed rate x window + burst: a share of it, and a number.
+    // By how much the sum over all nodes may exceed a limit: a share of it, and a number.
     double overshoot = 0.25;
     double slack = 20;
     // How long another node's word on use elsewhere is relied on.
-    util::Duration freshFor = std::chrono::milliseconds(1500);
-    // The least time between two reports of an organisation.
-    util::Duration reportInterval = std::chrono::milliseconds(250);
+    util::Duration freshFor = std::chrono::milliseconds(2500);
+    // The least time between two reports of one name, after so many new asks or anything admitted that
+    // counts; and the time after which any new ask is reported.
+    util::Duration eagerInterval = std::chrono::milliseconds(250);
+    int eagerAsks = 2;
+    util::Duration lazyInterval = std::chrono::seconds(1);
 };
 
-// Why a request was admitted or refused.
+// Why something was admitted or refused.
 enum class QuotaReason {
-    // The organisation has no limit.
-    Unlimited,
     // All nodes together are far from the limit.
     FarBelow,
-    // Within this node's part of the limit, by what is asked of it and elsewhere.
+    // Within or beyond this node's part of the limit, by what is asked of it and elsewhere.
     WithinShare,
     BeyondShare,
     // Use elsewhere is not known: within or beyond this node's even part.
@@ -42,8 +45,8 @@
 
 struct QuotaDecision {
     bool admitted = false;
-    QuotaReason reason = QuotaReason::Unlimited;
-    // Requests in the window at this node and elsewhere, the limit over all nodes, and the age of what is
+    QuotaReason reason = QuotaReason::FarBelow;
+    // Admitted in the window at this node and elsewhere, the limit over all nodes, and the age of what is
     // known of elsewhere.
     std::uint32_t own = 0;
     std::uint32_t elsewhere = 0;
@@ -54,10 +57,11 @@
     friend bool operator==(const QuotaDecision&, const QuotaDecision&) = default;
 };
 
-// One node's part in keeping organisations within rate x window + burst over all nodes. Nodes report what
-// they let through to one node for each organisation, which answers with the sum of the others'. While all
-// together stay well below the limit nothing is refused; near it, each node lets through the part of the
-// limit that it has of all that is asked. A node that knows nothing of the others lets through an even part.
+// One node's part in keeping what is admitted under a name within a limit over a sliding window and all
+// nodes: an organisation's requests, or a service's retries. Nodes report what they admitted to one node for
+// each name, which answers with the sum of the others'. While all together stay well below the limit nothing
+// is refused; near it, each node admits the part of the limit that it has of all that is asked. A node that
+// knows nothing of the others admits an even part.
 //
 // The sum over all nodes stays within limit x (1 + overshoot) + slack as long as what is asked grows by less
 // than that margin between two reports. See docs/PROOFS.md for what is not covered.
@@ -69,15 +73,16 @@
     {
     }
 
-    // Notes that a request is asked for. decide() follows, more than once if need be.
-    void noteAsked(const OrganisationName& organisation, util::Time now);
-    // Decides on one request, and counts it when it is admitted. `nodes` is the number of nodes that may take
-    // requests.
-    QuotaDecision decide(const Organisation& organisation, std::size_t nodes, util::Time now);
+    // Notes that something is asked for under a name.
+    void noteAsked(const std::string& name, util::Time now);
+    // Decides on one admission under a limit, and counts it. `nodes` is the number of nodes that may admit.
+    QuotaDecision decide(const std::string& name, double limit, std::size_t nodes, util::Time now);
+    // What was asked for in the window at all nodes, as far as this one knows.
+    double askedEverywhere(const std::string& name, util::Time now);
     void noteElsewhere(const QuotaElsewhere& elsewhere, util::Time now);
-    // The reports that are due, and those of organisations that `urgent` names.
-    std::vector<QuotaUse> takeReports(util::Time now, const std::set<OrganisationName>& urgent = {});
-    // Drops organisations without requests for two windows.
+    // The reports that are due, and that of `urgent`.
+    std::vector<QuotaUse> takeReports(util::Time now, const std::string& urgent = {});
+    // Drops names that nothing was asked for under for two windows.
     void forget(util::Time now);
 
 private:
@@ -93,14 +98,17 @@
         util::Time elsewhereAt {};
         util::Time lastAsked {};
         util::Time lastReport {};
-        bool unreported = false;
+        int asksUnreported = 0;
     };
 
+    Use& useOf(const std::string& name);
+    [[nodiscard]] bool due(const Use& use, util::Time now) const;
+    [[nodiscard]] bool known(const Use& use, util::Time now) const;
     [[nodiscard]] QuotaDecision judge(Use& use, double limit, std::size_t nodes, util::Time now) const;
 
     QuotaOptions m_options;
     util::Time m_started;
-    std::map<OrganisationName, Use> m_uses;
+    std::map<std::string, Use> m_uses;
 };
 
 } // namespace tarragonhaven
