Ask before deciding near a limit, refuse what waits for a target that leaves, tell for how long guards hold back

Cause 1 (window_quota_test, written first): one organisation at 7.5 times its usual over 33 nodes ran up to 290 requests in 5 s where 267 are allowed, up to 359 when nodes could not hear of each other, 309 when all had just started. Counts elsewhere were up to 2.5 s old, and each node rounded its part up.

Waiting requests are refused now when their target leaves.

Reads have a timeout to connect and end on dead connections.

Cause 4: every entry found out for itself which guards hold requests back: 39,000 tries in 40 s. Reports say for how long; after five quick tries a request waits, and at last it insists if it may be repeated. Ruled out: insisting with what must not run twice (502 in place of a true refusal: 1,885 failed for 1,107).

--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -87,7 +87,7 @@
         serializer.reset();
         response.reset();
         storage = {};
-        if (closing)
+        if (toldClose)
             return end(self);
         parser.emplace();
         parser->header_limit(entry.callerLimits().headBytes);
@@ -261,6 +261,7 @@
             response->chunked(true);
         closing = closing || bodyDue || entry.stopping();
         response->keep_alive(!closing);
+        toldClose = closing;
         response->body().data = nullptr;
         response->body().more = head.hasBody;
         serializer.emplace(*response);
@@ -319,6 +320,7 @@
             offerIdentity();
         closing = closing || (bodyDue && expectsContinue) || entry.stopping();
         refusalResponse->keep_alive(!closing);
+        toldClose = closing;
         const bool isHead = parser && parser->get().method() == http::verb::head;
         if (!isHead)
             refusalResponse->body() = refusalBody(refusal, requestId);
@@ -352,12 +354,10 @@
     // Reads and drops the rest of a refused request's body, so that the next request can be found after it.
     void drain(const Self& self)
     {
-        if (!bodyDue || closing)
+        if (!bodyDue || toldClose)
             return next(self);
-        if (drained > drainLimitBytes) {
-            closing = true;
-            return next(self);
-        }
+        if (drained > drainLimitBytes)
+            return end(self);
         readChunk(self, [this, self](bool alive, const BodyChunk& chunk) {
             if (!alive)
                 return;
@@ -403,7 +403,9 @@
     bool bodyDue = false;
     bool expectsContinue = false;
     bool identityRequired = false;
+    // The connection is to end after the next answer, and that answer has said so.
     bool closing = false;
+    bool toldClose = false;
     bool closed = false;
     bool ended = false;
     CloseWatch closeWatch;
--- a/tarragonhaven/caller_session.h
+++ b/tarragonhaven/caller_session.h
@@ -24,7 +24,8 @@
     CallerSession& operator=(const CallerSession&) = delete;
 
     void start();
-    // Ends the connection after the answer under way, or at once when `evenIdle` and none is.
+    // Ends the connection after the next answer, which says so; or at once when `evenIdle` and no request is
+    // under way.
     void stop(bool evenIdle);
     // Answers the request under way at once with a refusal, if its answer has not begun.
     void giveUp();
--- a/tarragonhaven/caller_set.h
+++ b/tarragonhaven/caller_set.h
@@ -20,7 +20,7 @@
     std::string open(const Endpoint& endpoint);
     // Takes no new connections.
     void closeListener() { m_listener.close(); }
-    // Lets every connection end after the answer under way.
+    // Lets every connection end after its next answer.
     void endAfterAnswers();
     // Ends the connections that have no request under way, or all.
     void endIdle();
--- a/tarragonhaven/configuration_duty.cc
+++ b/tarragonhaven/configuration_duty.cc
@@ -99,7 +99,7 @@
 
 void ConfigurationDuty::readIndex()
 {
-    httpGet(m_io, m_settings.platformAddress, absl::StrCat("/v1/values/", indexValueName), readTimeout,
+    httpGet(m_io, m_settings.platformAddress, absl::StrCat("/v1/values/", indexValueName), { readTimeout },
         [this](const std::optional<PlatformReply>& reply) {
             if (!reply || reply->status != okStatus)
                 return after(m_readTimer, retryLow, retryHigh, &ConfigurationDuty::readIndex);
@@ -158,7 +158,7 @@
     };
     if (m_assembly->source)
         return fetchFromPeer(*m_assembly->source, name, take);
-    httpGet(m_io, m_settings.platformAddress, absl::StrCat("/v1/values/", name), readTimeout, take);
+    httpGet(m_io, m_settings.platformAddress, absl::StrCat("/v1/values/", name), { readTimeout }, take);
 }
 
 void ConfigurationDuty::shardRead(const std::string& name, const std::optional<PlatformReply>& reply)
@@ -222,7 +222,7 @@
     const auto wait = reader ? std::chrono::duration_cast<std::chrono::milliseconds>(watchWait).count() : 0;
     const auto asked = m_holder.revision();
     httpGet(m_io, m_settings.platformAddress, absl::StrCat("/v1/watch?after=", asked, "&waitMs=", wait),
-        watchTimeout, [this, reader, asked](const std::optional<PlatformReply>& reply) {
+        { watchTimeout }, [this, reader, asked](const std::optional<PlatformReply>& reply) {
             const bool answered = reply && reply->status == okStatus;
             if (answered && m_holder.wants(reply->revision))
                 readIndex();
@@ -237,7 +237,7 @@
 
 void ConfigurationDuty::pollInstances()
 {
-    httpGet(m_io, m_settings.platformAddress, "/v1/instances", readTimeout,
+    httpGet(m_io, m_settings.platformAddress, "/v1/instances", { readTimeout },
         [this](const std::optional<PlatformReply>& reply) {
             if (reply && reply->status == okStatus)
                 instancesRead(reply->body);
--- a/tarragonhaven/discovery_duty.h
+++ b/tarragonhaven/discovery_duty.h
@@ -61,10 +61,12 @@
 
 private:
     static constexpr std::size_t ringEvents = 256;
-    // How long the store may keep a watch waiting; a silent connection shows after it.
-    static constexpr util::Duration watchWait = std::chrono::seconds(10);
-    // Changes that come within this time are read together, since each read has its price.
-    static constexpr util::Duration gatherTime = std::chrono::milliseconds(120);
+    // How long the store may keep a watch waiting. A connection that goes dead is noticed sooner.
+    static constexpr util::Duration watchWait = std::chrono::seconds(25);
+    // Changes that come within this time are read together, since each read has its price; a third of the
+    // time in which a change has to be in force.
+    static constexpr util::Duration gatherTime = std::chrono::milliseconds(650);
+    static constexpr util::Duration graceCheck = std::chrono::milliseconds(200);
     static constexpr util::Duration retryLow = std::chrono::milliseconds(250);
     static constexpr util::Duration retryHigh = std::chrono::milliseconds(750);
     // After a refusal for too many reads.
@@ -189,7 +191,7 @@
 
     void awaitGrace()
     {
-        m_graceTimer.expires_after(gatherTime);
+        m_graceTimer.expires_after(graceCheck);
         m_graceTimer.async_wait([this](boost::system::error_code error) {
             if (!error)
                 publishDirectory();
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -26,9 +26,9 @@
 
     std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
+    // Before every declared priority.
+    constexpr int internalRank = -1;
     constexpr std::size_t longestRequestId = 200;
-    // How long a target is avoided at least, so that a run of requests does not find it closed one by one.
-    constexpr util::Duration shortestAvoidance = std::chrono::milliseconds(150);
 
 } // namespace
 
@@ -176,7 +176,7 @@
 int Entry::rankOf(const Route& route, const Organisation* organisation) const
 {
     if (!organisation && m_parts.options.internalFirst)
-        return -1;
+        return internalRank;
     return organisation && organisation->priority ? *organisation->priority : route.priority;
 }
 
@@ -204,7 +204,9 @@
     accepted.context.deadline = deadlineOf(head, accepted.route);
     const auto patience = util::fromSeconds(
         m_parts.options.queueShareOfObjective * util::toSeconds(accepted.route.objective));
-    if (patience > util::Duration {})
+    // What a target calls while it runs a request is waited for: without it the whole request is lost.
+    const bool internal = accepted.context.rank == internalRank;
+    if (patience > util::Duration {} && !internal)
         accepted.context.queueUntil = util::BootClock::now() + patience;
     accepted.context.deadlineCoversBody = m_parts.options.deadlineCoversBody;
     accepted.context.callerService = m_parts.options.callerService;
@@ -261,7 +263,7 @@
 void Entry::avoid(const TargetName& target, util::Duration time)
 {
     auto& until = m_avoided[target];
-    until = std::max(until, util::BootClock::now() + std::max(time, shortestAvoidance));
+    until = std::max(until, util::BootClock::now() + time);
 }
 
 void Entry::noteReport(const TargetName& target, const TargetReport& report)
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -14,6 +14,8 @@
 
     // Refusals by guards cost a hop each, so a request that nobody takes gives up after this many.
     constexpr int mostTries = 10;
+    // Tries at which a request may wait, before it insists.
+    constexpr int queueTries = 2;
     constexpr std::size_t keptBodyBytes = 64 * 1024;
     constexpr int firstServerErrorStatus = 500;
     // How long a target is avoided whose guard does not answer or stops.
@@ -67,29 +69,33 @@
 }
 
 // Targets with a free slot are looked for first; when none is found in a few tries, the request waits at the
-// one that seems the least loaded. One that is refused everywhere is tried once more at a target that is held
-// back, if the options say so.
+// one that seems the least loaded. One that may be repeated and is refused everywhere is tried at last at
+// targets that are held back, if the options say so; any other would only risk to end as "unknown".
 TargetChoice EntryExchange::choose()
 {
     const auto& options = m_entry.parts().options;
     auto& context = m_request.context;
     ChoiceRequest request { context.idempotent, m_failed, options.spillLoad };
     request.unprovenWeight = context.idempotent ? 0 : options.unprovenWeight;
-    if (static_cast<int>(m_full.size()) < options.quickRefusals) {
+    request.excluded.insert(m_held.begin(), m_held.end());
+    if (m_tries < options.quickTries) {
         context.mayQueue = false;
-        request.excluded.insert(m_full.begin(), m_full.end());
-        const auto choice = m_entry.choose(context.service, request);
+        auto quick = request;
+        quick.excluded.insert(m_full.begin(), m_full.end());
+        const auto choice = m_entry.choose(context.service, quick);
         if (choice.target)
             return choice;
     }
     context.mayQueue = true;
-    request.excluded = m_failed;
-    request.leastLoaded = options.quickRefusals > 0;
-    const auto choice = m_entry.choose(context.service, request);
-    if (choice.target || !options.insistAtLast || m_suspect.empty() || context.insists)
-        return choice;
+    request.leastLoaded = options.quickTries > 0;
+    const bool mayInsist = options.insistAtLast && context.idempotent;
+    if (!mayInsist || m_tries < options.quickTries + queueTries) {
+        const auto choice = m_entry.choose(context.service, request);
+        if (choice.target || !mayInsist)
+            return choice;
+    }
     context.insists = true;
-    std::erase_if(m_failed, [this](const TargetName& target) { return m_suspect.contains(target); });
+    request.includeHeld = true;
     request.excluded = m_failed;
     return m_entry.choose(context.service, request);
 }
@@ -209,15 +215,15 @@
         m_full.insert(m_target);
         return;
     }
+    if (refusal.reason == RefusalReason::TargetSuspect) {
+        m_held.insert(m_target);
+        return;
+    }
     m_failed.insert(m_target);
-    if (refusal.reason == RefusalReason::TargetSuspect)
-        m_suspect.insert(m_target);
     if (refusal.reason == RefusalReason::PeerUnreachable) {
         if (auto* health = m_entry.health(m_request.context.service))
             health->notePathFailure(m_target);
     }
-    if (refusal.reason == RefusalReason::TargetSuspect)
-        m_entry.avoid(m_target, refusal.retryAfter);
     if (refusal.reason == RefusalReason::PeerUnreachable || refusal.reason == RefusalReason::Stopping)
         m_entry.avoid(m_target, unreachableFor);
     if (refusal.run == RunState::NotRun)
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -72,12 +72,11 @@
     AcceptedRequest m_request;
     Attempt m_attempt;
     TargetName m_target;
-    // Targets that refused for want of a slot, and those that are of no use to this request for any other
-    // reason.
+    // Targets that refused for want of a slot, those that their guards hold back, and those that are of no
+    // use to this request for any other reason.
     std::set<TargetName> m_full;
+    std::set<TargetName> m_held;
     std::set<TargetName> m_failed;
-    // Those of them that their guards hold back.
-    std::set<TargetName> m_suspect;
     int m_tries = 0;
     // Targets that may have run the request.
     int m_runs = 0;
--- a/tarragonhaven/entry_options.h
+++ b/tarragonhaven/entry_options.h
@@ -16,8 +16,8 @@
     // Answers up to this many bytes are read whole before the caller gets their head, so that one that breaks
     // off can be tried again; 0 to pass on every answer as it comes.
     std::size_t bufferedAnswerBytes = 0;
-    // Guards that refuse a request for want of a free slot before it waits at one.
-    int quickRefusals = 0;
+    // Tries at which a request is refused rather than wait for a slot.
+    int quickTries = 0;
     // Requests a slot at the targets of a nearer place at which those of the next are used as well.
     double spillLoad = 0.9;
     // How long a request may wait for a slot, as a share of its route's objective; 0 for its deadline.
@@ -25,7 +25,7 @@
     // How much an unproven second adds to a target's cost for requests that cannot be tried again, as a
     // share.
     double unprovenWeight = 0;
-    // Whether a request that nobody takes is tried at a target that is held back.
+    // Whether a request that may be repeated and that nobody takes is tried at a target that is held back.
     bool insistAtLast = false;
     // Whether a target of this node's own instance goes before others of its data centre.
     bool preferOwnInstance = false;
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -33,7 +33,7 @@
     }
     for (const auto& [name, removed] : before) {
         if (removed)
-            removed->drain();
+            removed->retire();
     }
     if (m_draining)
         drain();
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -19,6 +19,11 @@
     // Weight of the newest request in the average time that a slot is held.
     constexpr double holdWeight = 0.1;
 
+    std::int64_t milliseconds(util::Duration time)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    }
+
     util::Time queueLimit(const RequestContext& context)
     {
         return context.queueUntil == util::Time {} ? context.deadline
@@ -46,7 +51,7 @@
 
 Refusal GuardedTarget::suspect() const
 {
-    return { RefusalReason::TargetSuspect, RunState::NotRun, m_breaker->opensIn(util::BootClock::now()),
+    return { RefusalReason::TargetSuspect, RunState::NotRun, m_breaker->opensIn(true, util::BootClock::now()),
         std::string(name(m_breaker->state(util::BootClock::now()))) };
 }
 
@@ -152,19 +157,29 @@
 
 void GuardedTarget::refuseSuspected()
 {
-    if (!m_breaker || m_breaker->state(util::BootClock::now()) != TargetBreaker::State::Open)
-        return;
+    if (m_breaker && m_breaker->state(util::BootClock::now()) == TargetBreaker::State::Open)
+        refuseWaiting(suspect(), false);
+}
+
+void GuardedTarget::refuseWaiting(const Refusal& refusal, bool insisting)
+{
     std::vector<std::uint64_t> tickets;
     for (const auto& [ticket, waiting] : m_waiting) {
-        if (!waiting.insists)
+        if (insisting || !waiting.insists)
             tickets.push_back(ticket);
     }
     for (const auto ticket : tickets) {
         m_queue.leave(ticket);
-        refuse(ticket, suspect());
+        refuse(ticket, refusal);
     }
 }
 
+void GuardedTarget::retire()
+{
+    m_target.leaving = true;
+    refuseWaiting({ RefusalReason::Stopping, RunState::NotRun, queueRetryAfter, "the target leaves" }, true);
+}
+
 std::vector<InstanceName> GuardedTarget::entriesToTell()
 {
     const auto now = util::BootClock::now();
@@ -190,6 +205,8 @@
     if (target.address != m_target.address)
         m_idle.clear();
     m_target = target;
+    if (m_target.leaving)
+        return retire();
     m_queue.resize(target.slots);
     grantWaiting();
 }
@@ -269,9 +286,12 @@
     m_report.slotsInUse = m_queue.inUse();
     m_report.queued = static_cast<int>(m_queue.waiting());
     m_report.draining = m_draining || m_target.leaving;
-    if (m_lastGood != util::Time {}) {
-        const auto age = util::BootClock::now() - m_lastGood;
-        m_report.provenMs = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    const auto now = util::BootClock::now();
+    if (m_lastGood != util::Time {})
+        m_report.provenMs = milliseconds(now - m_lastGood);
+    if (m_breaker) {
+        m_report.heldMs = milliseconds(m_breaker->opensIn(true, now));
+        m_report.heldOthersMs = milliseconds(m_breaker->opensIn(false, now));
     }
     return m_report;
 }
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -38,8 +38,11 @@
     std::vector<InstanceName> entriesToTell();
     // Refuses new requests, since the instance leaves.
     void drain();
-    // Takes over changed settings of the same target.
+    // Takes over changed settings of the same target. One that leaves gets no new work: requests that wait
+    // for it are refused, those at it are finished.
     void update(const Target& target);
+    // The target is gone from the directory: the same as one that leaves.
+    void retire();
 
     // A kept connection, or null. Connections that were idle for longer than `maximumIdle` are left aside.
     std::unique_ptr<TargetConnection> takeIdle(util::Duration maximumIdle);
@@ -80,6 +83,8 @@
     void noteBreaker(TargetResult result, bool trial);
     // Refuses waiting requests that the breaker would not let through.
     void refuseSuspected();
+    // Refuses the waiting requests, or those that do not insist.
+    void refuseWaiting(const Refusal& refusal, bool insisting);
 
     boost::asio::io_context& m_io;
     Target m_target;
--- a/tarragonhaven/http_get.cc
+++ b/tarragonhaven/http_get.cc
@@ -1,6 +1,9 @@
 #include "tarragonhaven/http_get.h"
 
+#include "tarragonhaven/socket_options.h"
+
 #include <absl/strings/numbers.h>
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -26,7 +29,7 @@
         {
         }
 
-        void start(const Endpoint& server, const std::string& target, util::Duration timeout)
+        void start(const Endpoint& server, const std::string& target, GetTimeouts timeouts)
         {
             m_request.version(httpVersion11);
             m_request.method(http::verb::get);
@@ -34,10 +37,14 @@
             m_request.set(http::field::host, toString(server));
             m_request.keep_alive(false);
             m_parser.body_limit(bodyLimitBytes);
-            m_stream.expires_after(timeout);
+            m_stream.expires_after(std::min(timeouts.connect, timeouts.whole));
             const tcp::endpoint address(boost::asio::ip::make_address(server.address), server.port);
-            m_stream.async_connect(address, [self = shared_from_this()](error_code error) {
-                error ? self->finish(false) : self->send();
+            m_stream.async_connect(address, [self = shared_from_this(), timeouts](error_code error) {
+                if (error)
+                    return self->finish(false);
+                endWhenSilent(self->m_stream.socket(), timeouts.silence);
+                self->m_stream.expires_after(timeouts.whole);
+                self->send();
             });
         }
 
@@ -80,9 +87,9 @@
 } // namespace
 
 void httpGet(boost::asio::io_context& io, const Endpoint& server, const std::string& target,
-    util::Duration timeout, PlatformHandler handler)
+    GetTimeouts timeouts, PlatformHandler handler)
 {
-    std::make_shared<Get>(io, std::move(handler))->start(server, target, timeout);
+    std::make_shared<Get>(io, std::move(handler))->start(server, target, timeouts);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/http_get.h
+++ b/tarragonhaven/http_get.h
@@ -19,11 +19,19 @@
     std::string body;
 };
 
+// How long a read may take as a whole and to connect, and how long the server may be silent without an
+// acknowledgement, which ends a read that waits on a connection that has gone dead.
+struct GetTimeouts {
+    util::Duration whole {};
+    util::Duration connect = std::chrono::seconds(1);
+    util::Duration silence = std::chrono::seconds(3);
+};
+
 using PlatformHandler = std::function<void(std::optional<PlatformReply>)>;
 
 // Reads `target` from an HTTP server, on a connection of its own. The handler gets nothing when there is no
-// whole answer within `timeout`.
+// whole answer in time.
 void httpGet(boost::asio::io_context& io, const Endpoint& server, const std::string& target,
-    util::Duration timeout, PlatformHandler handler);
+    GetTimeouts timeouts, PlatformHandler handler);
 
 } // namespace tarragonhaven
--- a/tarragonhaven/quota_admission.cc
+++ b/tarragonhaven/quota_admission.cc
@@ -94,10 +94,11 @@
     return organisation.ratePerSecond * util::toSeconds(m_parts.policy.quotaWindow) + organisation.burst;
 }
 
-QuotaDecision QuotaAdmission::decide(const Organisation& organisation)
+QuotaDecision QuotaAdmission::decide(const Organisation& organisation, bool final)
 {
     return ledger(QuotaKind::Requests)
-        .quota.decide(organisation.name.text, limitOf(organisation), m_nodes.size(), util::BootClock::now());
+        .quota.decide(
+            organisation.name.text, limitOf(organisation), m_nodes.size(), util::BootClock::now(), final);
 }
 
 void QuotaAdmission::admit(const AdmissionRequest& request, OutcomeHandler<void> handler)
@@ -109,11 +110,14 @@
         return handler({});
     const auto now = util::BootClock::now();
     ledger(QuotaKind::Requests).quota.noteAsked(organisation->name.text, now);
-    const auto decision = decide(*organisation);
-    if (decision.admitted || decision.reason != QuotaReason::BeyondEvenPart)
+    const auto decision = decide(*organisation, false);
+    if (decision.reason != QuotaReason::Unsure)
         return conclude(decision, handler);
+    const bool asking = std::any_of(m_waiting.begin(), m_waiting.end(),
+        [&](const Waiting& waiting) { return waiting.organisation == organisation->name; });
     m_waiting.push_back({ organisation->name, std::move(handler), now + askTimeout });
-    report(QuotaKind::Requests, organisation->name.text);
+    if (!asking)
+        report(QuotaKind::Requests, organisation->name.text);
 }
 
 void QuotaAdmission::conclude(const QuotaDecision& decision, const OutcomeHandler<void>& handler)
@@ -140,11 +144,11 @@
     const auto& policy = m_parts.policy;
     const double limit = retryShareUsed
         * (policy.retryShare * quota.askedEverywhere(service.text, now) + policy.retrySlack);
-    return quota.decide(service.text, limit, m_nodes.size(), now).admitted;
+    return quota.decide(service.text, limit, m_nodes.size(), now, true).admitted;
 }
 
 // Decides again on the requests of an organisation whose use elsewhere has become known, or will not in time.
-void QuotaAdmission::settleWaiting(const std::string& organisation)
+void QuotaAdmission::settleWaiting(const std::string& organisation, bool final)
 {
     const auto first = std::stable_partition(m_waiting.begin(), m_waiting.end(),
         [&](const Waiting& waiting) { return waiting.organisation.text != organisation; });
@@ -154,7 +158,7 @@
     const auto* declared = m_configuration->organisation({ organisation });
     for (const auto& waiting : settled) {
         if (declared)
-            conclude(decide(*declared), waiting.handler);
+            conclude(decide(*declared, final), waiting.handler);
         else
             waiting.handler({});
     }
@@ -168,7 +172,7 @@
             late.insert(waiting.organisation.text);
     }
     for (const auto& organisation : late)
-        settleWaiting(organisation);
+        settleWaiting(organisation, true);
 }
 
 void QuotaAdmission::receive(
@@ -195,7 +199,7 @@
     if (kind != QuotaKind::Requests)
         return;
     for (const auto& elsewhere : message.elsewhere)
-        settleWaiting(elsewhere.name);
+        settleWaiting(elsewhere.name, true);
 }
 
 void QuotaAdmission::noteSilence(util::Time now)
@@ -206,7 +210,7 @@
         m_silent[item.first] = now + silentFor;
         m_keepers.clear();
         m_parts.log.write(LogLevel::Warning, "dependency",
-            { { "name", "quota-keeper" }, { "event", "lost" }, { "instance", item.first.text } });
+            { { "name", "quota-keeper" }, { "event", "lost" }, { "keeper", item.first.text } });
         return true;
     });
     const auto ended = std::erase_if(m_silent, [now](const auto& item) { return now >= item.second; });
@@ -240,7 +244,7 @@
     if (kind != QuotaKind::Requests)
         return;
     for (const auto& name : kept)
-        settleWaiting(name);
+        settleWaiting(name, true);
 }
 
 void QuotaAdmission::tick()
--- a/tarragonhaven/quota_admission.h
+++ b/tarragonhaven/quota_admission.h
@@ -62,12 +62,12 @@
     static Ledger makeLedger(const QuotaOptions& options);
     Ledger& ledger(QuotaKind kind) { return m_ledgers.at(static_cast<std::size_t>(kind)); }
     [[nodiscard]] double limitOf(const Organisation& organisation) const;
-    QuotaDecision decide(const Organisation& organisation);
+    QuotaDecision decide(const Organisation& organisation, bool final);
     // The node that adds up what is admitted under a name; empty when there is none.
     [[nodiscard]] InstanceName keeperOf(QuotaKind kind, const std::string& name);
     void noteSilence(util::Time now);
     void report(QuotaKind kind, const std::string& urgent);
-    void settleWaiting(const std::string& organisation);
+    void settleWaiting(const std::string& organisation, bool final);
     void expireWaiting(util::Time now);
     void conclude(const QuotaDecision& decision, const OutcomeHandler<void>& handler);
 
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -425,6 +425,8 @@
         if (state.evidence.samples() >= fewestSamples)
             view.slowdown = std::max(1.0, std::exp2(state.evidence.logLatency() - typical));
         view.unprovenSeconds = unprovenSeconds(state, now);
+        view.held = now < state.lastReport + std::chrono::milliseconds(report.heldMs);
+        view.heldForOthers = now < state.lastReport + std::chrono::milliseconds(report.heldOthersMs);
         result.push_back(view);
     }
     return result;
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -53,6 +53,9 @@
     double slowdown = 1;
     // Seconds since the target's last good answer, as far as this node knows; bounded.
     double unprovenSeconds = 0;
+    // Whether the target's guard holds back requests that may be repeated, and all others.
+    bool held = false;
+    bool heldForOthers = false;
 };
 
 // One node's view of the targets of one service: evidence, standings and the ejections that follow from them.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -15,7 +15,7 @@
     // An instance's callers and links; well under its file descriptors.
     constexpr std::uint32_t maximumConnections = 3000;
     constexpr std::size_t bufferedAnswerBytes = 1024 * 1024;
-    constexpr int quickRefusals = 3;
+    constexpr int quickTries = 5;
     constexpr double spillLoad = 0.7;
     // An answer after the objective is worth less, but something.
     constexpr double queueShareOfObjective = 1.5;
@@ -57,7 +57,7 @@
         options.dialect = dialect;
         options.callerService = settings.service;
         options.bufferedAnswerBytes = bufferedAnswerBytes;
-        options.quickRefusals = quickRefusals;
+        options.quickTries = quickTries;
         options.spillLoad = spillLoad;
     options.queueShareOfObjective = queueShareOfObjective;
     options.unprovenWeight = unprovenWeight;
--- a/tarragonhaven/target_breaker.cc
+++ b/tarragonhaven/target_breaker.cc
@@ -20,9 +20,10 @@
     return idempotent || now >= m_openUntil + m_options.trialPatience;
 }
 
-util::Duration TargetBreaker::opensIn(util::Time now) const
+util::Duration TargetBreaker::opensIn(bool idempotent, util::Time now) const
 {
-    return m_closed || now >= m_openUntil ? util::Duration {} : m_openUntil - now;
+    const auto from = m_openUntil + (idempotent ? util::Duration {} : m_options.trialPatience);
+    return m_closed || now >= from ? util::Duration {} : from - now;
 }
 
 bool TargetBreaker::noteSent()
--- a/tarragonhaven/target_breaker.h
+++ b/tarragonhaven/target_breaker.h
@@ -56,8 +56,8 @@
 
     // Whether a request may be sent now.
     [[nodiscard]] bool admits(bool idempotent, util::Time now) const;
-    // How long until the next trial; zero when one is possible now.
-    [[nodiscard]] util::Duration opensIn(util::Time now) const;
+    // How long until a request may be a trial; zero when it may be sent now.
+    [[nodiscard]] util::Duration opensIn(bool idempotent, util::Time now) const;
     // Notes that a request is sent, and returns whether it is a trial. noteResult() follows exactly once.
     bool noteSent();
     void noteResult(TargetResult result, bool trial, util::Time now);
--- a/tarragonhaven/target_chooser.cc
+++ b/tarragonhaven/target_chooser.cc
@@ -21,6 +21,9 @@
     {
         std::vector<const TargetView*> result;
         for (const auto& view : views) {
+            const bool held = request.idempotent ? view.held : view.heldForOthers;
+            if (held && !request.includeHeld)
+                continue;
             const bool trusted = view.standing == Standing::Active || view.standing == Standing::Ramp;
             if (trusted && !view.leaving && !request.excluded.contains(view.target->name))
                 result.push_back(&view);
--- a/tarragonhaven/target_chooser.h
+++ b/tarragonhaven/target_chooser.h
@@ -39,6 +39,8 @@
     // How much an unproven second adds to the cost of a target, as a share. A request that cannot be tried
     // again goes rather to targets that answered well a moment ago.
     double unprovenWeight = 0;
+    // Whether targets count that their guards hold back.
+    bool includeHeld = false;
     // Takes the cheapest of all targets that may be used, wherever it is.
     bool leastLoaded = false;
 };
--- a/tarragonhaven/target_report.h
+++ b/tarragonhaven/target_report.h
@@ -24,8 +24,11 @@
     double logLatencySum = 0;
     // Milliseconds since the last good answer; -1 when there was none.
     std::int64_t provenMs = -1;
+    // Milliseconds for which the guard holds requests back: those that may be repeated, and all others.
+    std::int64_t heldMs = 0;
+    std::int64_t heldOthersMs = 0;
     MSGPACK_DEFINE_ARRAY(incarnation, sequence, slots, slotsInUse, queued, draining, answers, failures,
-        overdue, logLatencySum, provenMs);
+        overdue, logLatencySum, provenMs, heldMs, heldOthersMs);
 
     friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
--- a/tarragonhaven/tarragonhaven_status.cc
+++ b/tarragonhaven/tarragonhaven_status.cc
@@ -34,7 +34,7 @@
     boost::asio::io_context io;
     std::vector<json> states;
     for (const auto& node : nodes) {
-        tarragonhaven::httpGet(io, node, "/status", timeout, [&, node](const auto& reply) {
+        tarragonhaven::httpGet(io, node, "/status", { timeout }, [&, node](const auto& reply) {
             auto state = reply ? json::parse(reply->body, nullptr, false) : json();
             if (state.is_object())
                 states.push_back(std::move(state));
--- /dev/null
+++ b/tarragonhaven/testing/window_quota_test.cc
@@ -0,0 +1,201 @@
+#include "tarragonhaven/quota_totals.h"
+#include "tarragonhaven/window_quota.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cmath>
+#include <deque>
+#include <random>
+
+using namespace tarragonhaven;
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+const util::Time start { std::chrono::hours(1) };
+constexpr util::Duration step = std::chrono::milliseconds(10);
+const std::string organisation = "harbour";
+
+// What the rule says, from the times of all admissions over all nodes: the most in any window.
+std::size_t mostInAnyWindow(const std::deque<util::Time>& admitted, util::Duration window)
+{
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < admitted.size(); ++last) {
+        while (admitted[last] - admitted[first] >= window)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+// Nodes that report to one of them, which may be silent or forget; a report takes a while.
+class QuotaFleet {
+public:
+    QuotaFleet(int nodes, unsigned seed)
+        : m_random(seed)
+    {
+        for (int i = 0; i < nodes; ++i)
+            m_quotas.emplace_back(QuotaOptions {}, start - std::chrono::seconds(10));
+    }
+
+    void ask(std::size_t node, double limit)
+    {
+        auto& quota = m_quotas[node];
+        quota.noteAsked(organisation, m_now);
+        ++m_asked;
+        const auto decision = quota.decide(organisation, limit, m_quotas.size(), m_now, false);
+        if (decision.admitted)
+            m_admitted.push_back(m_now);
+        else if (decision.reason == QuotaReason::Unsure)
+            decideAfterReport(node, limit);
+    }
+
+    void advance()
+    {
+        m_now += step;
+        for (std::size_t node = 0; node < m_quotas.size(); ++node) {
+            if (m_cut)
+                continue;
+            for (const auto& use : m_quotas[node].takeReports(m_now))
+                exchange(node, use);
+        }
+    }
+
+    void restart(std::size_t node) { m_quotas[node] = WindowQuota(QuotaOptions {}, m_now); }
+    void setCut(bool cut) { m_cut = cut; }
+    [[nodiscard]] util::Time now() const { return m_now; }
+    [[nodiscard]] std::size_t asked() const { return m_asked; }
+    [[nodiscard]] const std::deque<util::Time>& admitted() const { return m_admitted; }
+    std::mt19937& random() { return m_random; }
+
+private:
+    void exchange(std::size_t node, const QuotaUse& use)
+    {
+        m_quotas[node].noteElsewhere(m_totals.note({ std::to_string(node) }, use, m_now), m_now);
+    }
+
+    // A node that is not sure asks the keeper first, as QuotaAdmission does.
+    void decideAfterReport(std::size_t node, double limit)
+    {
+        if (!m_cut) {
+            for (const auto& use : m_quotas[node].takeReports(m_now, organisation))
+                exchange(node, use);
+        }
+        if (m_quotas[node].decide(organisation, limit, m_quotas.size(), m_now, true).admitted)
+            m_admitted.push_back(m_now);
+    }
+
+    std::mt19937 m_random;
+    util::Time m_now = start;
+    std::vector<WindowQuota> m_quotas;
+    QuotaTotals m_totals { QuotaOptions {}.window };
+    std::deque<util::Time> m_admitted;
+    std::size_t m_asked = 0;
+    bool m_cut = false;
+};
+
+// Asks at `perSecond` for a time, at random nodes.
+void load(QuotaFleet& fleet, int nodes, double perSecond, double seconds, double limit)
+{
+    std::poisson_distribution<int> arrivals(perSecond * Seconds(step).count());
+    const auto end = fleet.now() + util::fromSeconds(seconds);
+    while (fleet.now() < end) {
+        for (int i = arrivals(fleet.random()); i > 0; --i)
+            fleet.ask(fleet.random()() % static_cast<unsigned>(nodes), limit);
+        fleet.advance();
+    }
+}
+
+constexpr double rate = 33;
+constexpr double burst = 33;
+constexpr double limit = 5 * rate + burst;
+constexpr double bound = limit * 1.25 + 20;
+
+} // namespace
+
+TEST_CASE("an organisation inside its rate is refused nothing")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(33, seed);
+        load(fleet, 33, rate / 1.6, 30, limit);
+        CHECK(fleet.admitted().size() == fleet.asked());
+    }
+}
+
+TEST_CASE("an organisation that sends seven times its usual stays within the bound, and gets its limit")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(33, seed);
+        load(fleet, 33, rate / 1.6, 10, limit);
+        load(fleet, 33, 7.5 * rate / 1.6, 15, limit);
+        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+        CHECK(static_cast<double>(fleet.admitted().size()) >= rate * 15);
+    }
+}
+
+TEST_CASE("nodes that cannot hear of each other stay within the bound together")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(33, seed);
+        load(fleet, 33, rate / 1.6, 10, limit);
+        fleet.setCut(true);
+        load(fleet, 33, 7.5 * rate / 1.6, 15, limit);
+        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+    }
+}
+
+TEST_CASE("a restart of every node under a flood stays within the bound")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(33, seed);
+        load(fleet, 33, 7.5 * rate / 1.6, 12, limit);
+        for (int i = 0; i < 100; ++i)
+            fleet.advance();
+        for (std::size_t node = 0; node < 33; ++node)
+            fleet.restart(node);
+        load(fleet, 33, 7.5 * rate / 1.6, 10, limit);
+        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+    }
+}
+
+TEST_CASE("a sliding count is that of the window and at most one step more")
+{
+    for (unsigned seed = 1; seed <= 50; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        const util::Duration window = std::chrono::seconds(2);
+        SlidingCount count(window);
+        std::deque<util::Time> events;
+        util::Time now = start;
+        for (int i = 0; i < 500; ++i) {
+            now += std::chrono::milliseconds(random() % 90);
+            count.add(now);
+            events.push_back(now);
+            const auto within = [&](util::Duration span) {
+                return std::count_if(
+                    events.begin(), events.end(), [&](util::Time event) { return now - event < span; });
+            };
+            CHECK(static_cast<long>(count.sum(now)) >= within(window));
+            CHECK(static_cast<long>(count.sum(now)) <= within(window + window / 20));
+        }
+    }
+}
+
+TEST_CASE("what a silent node reported fades over the window")
+{
+    QuotaTotals totals(std::chrono::seconds(5));
+    totals.note({ "a" }, { organisation, 100, 100, false }, start);
+    const auto half
+        = totals.note({ "b" }, { organisation, 1, 1, false }, start + std::chrono::milliseconds(2500));
+    CHECK(half.admitted == 50);
+    const auto gone = totals.note({ "b" }, { organisation, 1, 1, false }, start + std::chrono::seconds(5));
+    CHECK(gone.admitted == 0);
+    totals.forget(start + std::chrono::seconds(11));
+    CHECK(totals.size() == 0);
+}
--- a/tarragonhaven/traffic_duty.cc
+++ b/tarragonhaven/traffic_duty.cc
@@ -12,6 +12,9 @@
     constexpr util::Duration tickInterval = std::chrono::milliseconds(10);
     constexpr unsigned long ticksPerEvaluation = 5;
     constexpr std::size_t statusRingItems = 16;
+    // How long an idle connection is kept after the stop began: a request that is on its way is still
+    // answered, and told that the connection ends.
+    constexpr util::Duration idleAfterStop = std::chrono::seconds(1);
 
 } // namespace
 
@@ -161,7 +164,7 @@
 {
     boost::asio::post(m_io, [this] {
         m_stopping = true;
-        m_stopDeadline = util::BootClock::now() + m_parts.settings.drainTimeout;
+        m_stopBegan = util::BootClock::now();
         m_parts.state.ready.store(false);
         m_parts.controlRequests.push(StopRequest {});
         m_callers.closeListener();
@@ -173,9 +176,10 @@
 
 void TrafficDuty::drainTick()
 {
-    const auto now = util::BootClock::now();
-    const bool late = now >= m_stopDeadline;
-    m_callers.endIdle();
+    const auto since = util::BootClock::now() - m_stopBegan;
+    const bool late = since >= m_parts.settings.drainTimeout;
+    if (late || since >= idleAfterStop)
+        m_callers.endIdle();
     if (late || (m_callers.empty() && !m_guard.busy()))
         m_parts.state.drained.store(true);
 }
--- a/tarragonhaven/traffic_duty.h
+++ b/tarragonhaven/traffic_duty.h
@@ -82,7 +82,7 @@
     FleetView m_view;
     unsigned long m_ticks = 0;
     bool m_stopping = false;
-    util::Time m_stopDeadline {};
+    util::Time m_stopBegan {};
     std::thread m_thread;
 };
 
--- a/tarragonhaven/window_quota.cc
+++ b/tarragonhaven/window_quota.cc
@@ -13,9 +13,11 @@
     constexpr double farBelowShare = 0.75;
     // The part of the limit that is let through while all nodes are young: the other part may have been let
     // through before they started.
-    constexpr double youngShareKept = 0.45;
+    constexpr double youngShareKept = 0.35;
     // Part of the bound that is divided evenly among nodes that do not hear of each other.
-    constexpr double evenShare = 0.9;
+    constexpr double evenShare = 0.85;
+    // Part of the slack that nodes may use near the limit, where each rounds its part up.
+    constexpr double slackUsed = 0.3;
 
 } // namespace
 
@@ -28,6 +30,8 @@
         return "within-share";
     case QuotaReason::BeyondShare:
         return "beyond-share";
+    case QuotaReason::Unsure:
+        return "unsure";
     case QuotaReason::WithinEvenPart:
         return "within-even-part";
     case QuotaReason::BeyondEvenPart:
@@ -49,12 +53,15 @@
     ++use.asksUnreported;
 }
 
-QuotaDecision WindowQuota::decide(const std::string& name, double limit, std::size_t nodes, util::Time now)
+QuotaDecision WindowQuota::decide(
+    const std::string& name, double limit, std::size_t nodes, util::Time now, bool final)
 {
     auto& use = useOf(name);
-    const auto decision = judge(use, limit, nodes, now);
-    if (decision.admitted)
+    const auto decision = judge(use, limit, nodes, now, final);
+    if (decision.admitted) {
         use.admitted.add(now);
+        ++use.admittedSinceWord;
+    }
     return decision;
 }
 
@@ -69,26 +76,41 @@
     return use.asked.sum(now) + (known(use, now) ? use.elsewhere->asked : 0.0);
 }
 
-QuotaDecision WindowQuota::judge(Use& use, double limit, std::size_t nodes, util::Time now) const
+QuotaDecision WindowQuota::judge(
+    Use& use, double limit, std::size_t nodes, util::Time now, bool final) const
 {
-    const double bound = limit * (1 + m_options.overshoot) + m_options.slack;
     const auto own = use.admitted.sum(now);
     const auto asked = use.asked.sum(now);
     const auto age = now - use.elsewhereAt;
-    if (!known(use, now)) {
-        const double even = evenShare * bound / static_cast<double>(std::max<std::size_t>(1, nodes));
-        const bool within = own + 1 <= std::max(1.0, even);
-        return { within, within ? QuotaReason::WithinEvenPart : QuotaReason::BeyondEvenPart, own, 0, limit,
-            age };
+    if (known(use, now)) {
+        const auto& elsewhere = *use.elsewhere;
+        const double kept = limit * (1 - elsewhere.youngShare * (1 - youngShareKept));
+        const double grown
+            = use.admittedSinceWord * static_cast<double>(elsewhere.asked) / std::max<double>(1, asked);
+        if (own + elsewhere.admitted + grown + 1 <= farBelowShare * kept)
+            return { true, QuotaReason::FarBelow, own, elsewhere.admitted, limit, age };
+        if (age <= m_options.exactFor) {
+            const double share = static_cast<double>(asked) / std::max<double>(1, asked + elsewhere.asked);
+            const bool within = own < kept * share
+                && own + elsewhere.admitted + 1 <= limit + slackUsed * m_options.slack;
+            return { within, within ? QuotaReason::WithinShare : QuotaReason::BeyondShare, own,
+                elsewhere.admitted, limit, age };
+        }
     }
-    const auto& elsewhere = *use.elsewhere;
-    const double kept = limit * (1 - elsewhere.youngShare * (1 - youngShareKept));
-    if (own + elsewhere.admitted + 1 <= farBelowShare * kept)
-        return { true, QuotaReason::FarBelow, own, elsewhere.admitted, limit, age };
-    const double share = static_cast<double>(asked) / std::max<double>(1, asked + elsewhere.asked);
-    const bool within = own < kept * share && own + elsewhere.admitted + 1 <= evenShare * bound;
-    return { within, within ? QuotaReason::WithinShare : QuotaReason::BeyondShare, own, elsewhere.admitted,
-        limit, age };
+    if (!final)
+        return { false, QuotaReason::Unsure, own, 0, limit, age };
+    return judgeAlone(use, limit, nodes, now);
+}
+
+QuotaDecision WindowQuota::judgeAlone(Use& use, double limit, std::size_t nodes, util::Time now) const
+{
+    const double bound = limit * (1 + m_options.overshoot) + m_options.slack;
+    const double kept = now - m_started < m_options.window ? youngShareKept : 1;
+    const double even = kept * evenShare * bound / static_cast<double>(std::max<std::size_t>(1, nodes));
+    const auto own = use.admitted.sum(now);
+    const bool within = own + 1 <= std::max(1.0, even);
+    return { within, within ? QuotaReason::WithinEvenPart : QuotaReason::BeyondEvenPart, own, 0, limit,
+        now - use.elsewhereAt };
 }
 
 void WindowQuota::noteElsewhere(const QuotaElsewhere& elsewhere, util::Time now)
@@ -98,6 +120,7 @@
         return;
     found->second.elsewhere = elsewhere;
     found->second.elsewhereAt = now;
+    found->second.admittedSinceWord = 0;
 }
 
 bool WindowQuota::due(const Use& use, util::Time now) const
--- a/tarragonhaven/window_quota.h
+++ b/tarragonhaven/window_quota.h
@@ -21,7 +21,9 @@
     double overshoot = 0.25;
     double slack = 20;
     // How long another node's word on use elsewhere is relied on.
-    util::Duration freshFor = std::chrono::milliseconds(2500);
+    util::Duration freshFor = std::chrono::milliseconds(1500);
+    // How long it is exact enough to decide near a limit.
+    util::Duration exactFor = std::chrono::milliseconds(120);
     // The least time between two reports of one name, after so many new asks or anything admitted that
     // counts; and the time after which any new ask is reported.
     util::Duration eagerInterval = std::chrono::milliseconds(250);
@@ -36,7 +38,9 @@
     // Within or beyond this node's part of the limit, by what is asked of it and elsewhere.
     WithinShare,
     BeyondShare,
-    // Use elsewhere is not known: within or beyond this node's even part.
+    // Use elsewhere is not known well enough to say: ask for it and decide again.
+    Unsure,
+    // Use elsewhere cannot be learned: within or beyond this node's even part.
     WithinEvenPart,
     BeyondEvenPart,
 };
@@ -60,11 +64,12 @@
 // One node's part in keeping what is admitted under a name within a limit over a sliding window and all
 // nodes: an organisation's requests, or a service's retries. Nodes report what they admitted to one node for
 // each name, which answers with the sum of the others'. While all together stay well below the limit nothing
-// is refused; near it, each node admits the part of the limit that it has of all that is asked. A node that
-// knows nothing of the others admits an even part.
+// is refused; others are taken to have grown as this node has since their last word. Near the limit a node
+// asks before it decides, and admits the part of the limit that it has of all that is asked. A node that gets
+// no answer admits an even part.
 //
-// The sum over all nodes stays within limit x (1 + overshoot) + slack as long as what is asked grows by less
-// than that margin between two reports. See docs/PROOFS.md for what is not covered.
+// The sum over all nodes is to stay within limit x (1 + overshoot) + slack. See docs/PROOFS.md for what
+// holds that up and what is not covered.
 class WindowQuota {
 public:
     WindowQuota(QuotaOptions options, util::Time started)
@@ -76,7 +81,9 @@
     // Notes that something is asked for under a name.
     void noteAsked(const std::string& name, util::Time now);
     // Decides on one admission under a limit, and counts it. `nodes` is the number of nodes that may admit.
-    QuotaDecision decide(const std::string& name, double limit, std::size_t nodes, util::Time now);
+    // A decision is never Unsure when it is final.
+    QuotaDecision decide(
+        const std::string& name, double limit, std::size_t nodes, util::Time now, bool final);
     // What was asked for in the window at all nodes, as far as this one knows.
     double askedEverywhere(const std::string& name, util::Time now);
     void noteElsewhere(const QuotaElsewhere& elsewhere, util::Time now);
@@ -99,12 +106,15 @@
         util::Time lastAsked {};
         util::Time lastReport {};
         int asksUnreported = 0;
+        std::uint32_t admittedSinceWord = 0;
     };
 
     Use& useOf(const std::string& name);
     [[nodiscard]] bool due(const Use& use, util::Time now) const;
     [[nodiscard]] bool known(const Use& use, util::Time now) const;
-    [[nodiscard]] QuotaDecision judge(Use& use, double limit, std::size_t nodes, util::Time now) const;
+    [[nodiscard]] QuotaDecision judge(
+        Use& use, double limit, std::size_t nodes, util::Time now, bool final) const;
+    [[nodiscard]] QuotaDecision judgeAlone(Use& use, double limit, std::size_t nodes, util::Time now) const;
 
     QuotaOptions m_options;
     util::Time m_started;
