Read small bodies before a request waits, so that a caller that leaves is noticed

Change: up to 64 KB of a body are read before a target is chosen; then the connection is watched. Ruled out: asking the kernel for the state of the connection each tick, which costs a system call for each waiting request.

--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
+#include <deque>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -35,6 +36,8 @@
     constexpr util::Duration idleGrace = std::chrono::milliseconds(500);
     constexpr std::size_t readAheadBytes = 4096;
     constexpr std::size_t longestTargetBytes = 8 * 1024;
+    // The part of a body that is read before a target is chosen.
+    constexpr std::size_t prefetchBytes = 64 * 1024;
     // How much of a refused request's body is read and dropped to keep the connection.
     constexpr std::size_t drainLimitBytes = 256 * 1024;
     constexpr unsigned httpVersion11 = 11;
@@ -81,6 +84,8 @@
     void next(const Self& self)
     {
         relaying = false;
+        pending.reset();
+        prefetched.clear();
         refusalPending = false;
         closeWatch.stop();
         exchange.reset();
@@ -156,13 +161,48 @@
         keyDigest = accepted->keyDigest;
         accepted->context.requestId = requestId;
         identityRequired = accepted->route.identity == IdentityRule::Required;
-        const bool hasBody = accepted->head.hasBody;
-        exchange = std::make_shared<EntryExchange>(entry, std::move(*accepted));
+        pending = std::move(*accepted);
+        if (bodyDue && !expectsContinue)
+            return prefetch(self, 0);
+        beginExchange(self);
+    }
+
+    // Reads a small body before the request waits anywhere: a caller that leaves meanwhile can be noticed only
+    // when nothing of its request is left to read.
+    void prefetch(const Self& self, std::size_t bytes)
+    {
+        readChunk(self, [this, self, bytes](bool alive, BodyChunk chunk) {
+            if (!alive)
+                return;
+            const auto total = bytes + chunk.data.size();
+            const bool last = chunk.last;
+            prefetched.push_back(std::move(chunk));
+            if (last || total > prefetchBytes)
+                return beginExchange(self);
+            prefetch(self, total);
+        });
+    }
+
+    void beginExchange(const Self& self)
+    {
+        const bool hasBody = pending->head.hasBody;
+        exchange = std::make_shared<EntryExchange>(entry, std::move(*pending));
+        pending.reset();
         if (!bodyDue)
             watchCaller(self);
         std::make_shared<Relay<CallerSession, EntryExchange>>(self, exchange, hasBody)->start();
     }
 
+    void takeBody(const Self& self, std::function<void(bool, BodyChunk)> handler)
+    {
+        if (prefetched.empty())
+            return readChunk(self, std::move(handler));
+        auto chunk = std::move(prefetched.front());
+        prefetched.pop_front();
+        asio::post(stream.get_executor(),
+            [handler = std::move(handler), chunk = std::move(chunk)]() mutable { handler(true, std::move(chunk)); });
+    }
+
     // A caller that closes its connection waits for its answer no longer.
     void watchCaller(const Self& self)
     {
@@ -393,6 +433,9 @@
     // Allocated while a body is read, so that an idle connection stays small.
     std::vector<char> storage;
     BodyChunk out;
+    // A request that was accepted, until its exchange begins; and what of its body was read before that.
+    std::optional<AcceptedRequest> pending;
+    std::deque<BodyChunk> prefetched;
     std::string requestId;
     std::string keyDigest;
     OrganisationName organisation;
@@ -448,7 +491,7 @@
 
 void CallerSession::readBody(std::function<void(bool, BodyChunk)> handler)
 {
-    m_rep->readChunk(shared_from_this(), std::move(handler));
+    m_rep->takeBody(shared_from_this(), std::move(handler));
 }
 
 void CallerSession::opened(std::function<void(bool)> handler)
--- /dev/null
+++ b/tarragonhaven/testing/leaving_caller_test.cc
@@ -0,0 +1,66 @@
+#include "tarragonhaven/testing/http_caller.h"
+#include "tarragonhaven/testing/local_fleet.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace tarragonhaven;
+using namespace tarragonhaven::testing;
+
+namespace {
+
+std::string request(const std::string& method, const std::string& target, const std::string& mark)
+{
+    const std::string body = method == "POST" ? "a body that is sent at once" : "";
+    return method + " " + target + " HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer " + testKey("harbour")
+        + "\r\nRequest-Mark: " + mark + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body;
+}
+
+} // namespace
+
+// Both kinds of request wait for the one slot of a slow target while their callers leave.
+TEST_CASE("a request whose caller leaves while it waits reaches no target", "[net]")
+{
+    FleetShape shape;
+    shape.dataCentres = 1;
+    shape.instancesPerDataCentre = 2;
+    shape.slots = 1;
+    LocalFleet fleet(shape);
+    fleet.startAll();
+    FaultPlan plan;
+    plan.serviceMs = 1500;
+    const auto instances = fleet.instances();
+    const std::vector<std::string> targets { "t11", "t12" };
+    for (const auto& target : targets)
+        fleet.target(target).setPlan(plan);
+    // Enough requests to hold both slots, and to be in front of those that are given up.
+    std::vector<std::thread> holders;
+    for (int i = 0; i < 4; ++i) {
+        holders.emplace_back([&fleet, &instances] {
+            HttpCaller caller(fleet.callerAddress(instances[0]));
+            caller.sendRaw(request("GET", "/status/slow", "held"), 4000);
+        });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    std::vector<std::thread> leavers;
+    for (const auto* method : { "GET", "POST" }) {
+        leavers.emplace_back([&fleet, &instances, method] {
+            HttpCaller caller(fleet.callerAddress(instances[0]));
+            const std::string target = std::string(method) == "GET" ? "/status/left" : "/notes";
+            caller.sendRaw(request(method, target, std::string("left-") + method), 300);
+        });
+    }
+    for (auto& leaver : leavers)
+        leaver.join();
+    for (auto& holder : holders)
+        holder.join();
+    long held = 0;
+    for (const auto& target : targets) {
+        auto runs = fleet.target(target).seen().runs;
+        CHECK(runs["left-GET"] == 0);
+        CHECK(runs["left-POST"] == 0);
+        held += runs["held"];
+    }
+    CHECK(held == 4);
+}
