--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -57,6 +57,19 @@
     return tellings;
 }
 
+std::vector<Guard::BreakerChange> Guard::takeBreakerChanges()
+{
+    std::vector<BreakerChange> changes;
+    for (const auto& [name, target] : m_targets) {
+        const auto state = target->takeBreakerChange();
+        if (!state)
+            continue;
+        const auto report = target->report();
+        changes.push_back({ name, *state, report.answers, report.failures });
+    }
+    return changes;
+}
+
 bool Guard::busy() const
 {
     return std::any_of(
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -29,6 +29,17 @@
         std::vector<InstanceName> entries;
     };
 
+    // A target whose breaker has changed.
+    struct BreakerChange {
+        TargetName target;
+        TargetBreaker::State state = TargetBreaker::State::Closed;
+        // The target's answers and failures so far.
+        std::uint64_t answers = 0;
+        std::uint64_t failures = 0;
+    };
+    // The changes since the last call, for the log.
+    std::vector<BreakerChange> takeBreakerChanges();
+
     // Refuses requests whose time in a queue has passed, and returns what entries are to be told. Call it
     // every few milliseconds.
     std::vector<Telling> tick();
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -198,6 +198,16 @@
     return entries;
 }
 
+std::optional<TargetBreaker::State> GuardedTarget::takeBreakerChange()
+{
+    const auto state
+        = m_breaker ? m_breaker->state(util::BootClock::now()) : TargetBreaker::State::Closed;
+    if (state == m_breakerTold)
+        return std::nullopt;
+    m_breakerTold = state;
+    return state;
+}
+
 void GuardedTarget::drain() { m_draining = true; }
 
 void GuardedTarget::update(const Target& target)
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -60,7 +60,8 @@
     [[nodiscard]] bool busy() const { return m_queue.inUse() > 0 || m_queue.waiting() > 0; }
     [[nodiscard]] const Target& target() const { return m_target; }
     [[nodiscard]] const GuardOptions& options() const { return m_options; }
-    [[nodiscard]] const std::optional<TargetBreaker>& breaker() const { return m_breaker; }
+    // The breaker's state, if it differs from that of the last call.
+    std::optional<TargetBreaker::State> takeBreakerChange();
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
 
 private:
@@ -95,6 +96,7 @@
     // Moving average of how long requests hold a slot; zero while none has ended.
     util::Duration m_typicalHold {};
     std::optional<TargetBreaker> m_breaker;
+    TargetBreaker::State m_breakerTold = TargetBreaker::State::Closed;
     std::vector<std::unique_ptr<TargetConnection>> m_idle;
     std::uint64_t m_nextTicket = 1;
     bool m_draining = false;
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -187,9 +187,19 @@
     }
 }
 
+void SidecarTraffic::logBreakers()
+{
+    for (const auto& change : m_guard.takeBreakerChanges()) {
+        m_parts.log.write(LogLevel::Warning, "breaker",
+            { { "target", change.target.text }, { "state", name(change.state) },
+                { "answers", change.answers }, { "failures", change.failures } });
+    }
+}
+
 void SidecarTraffic::everyTick()
 {
     tellEntries();
+    logBreakers();
     if (++m_ticks % ticksPerEvaluation == 0) {
         m_admission.tick();
         m_entry.tick();
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -60,6 +60,7 @@
     void handleDatagram(const Endpoint& source, const ControlEnvelope& envelope);
     void applyView();
     void tellEntries();
+    void logBreakers();
     void everyTick();
     void drainTick();
     void answerStatus(const StatusRequest& request);
