--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -167,8 +167,8 @@
         beginExchange(self);
     }
 
-    // Reads a small body before the request waits anywhere: a caller that leaves meanwhile can be noticed only
-    // when nothing of its request is left to read.
+    // Reads a small body before the request waits anywhere: a caller that leaves meanwhile can be noticed
+    // only when nothing of its request is left to read.
     void prefetch(const Self& self, std::size_t bytes)
     {
         readChunk(self, [this, self, bytes](bool alive, BodyChunk chunk) {
@@ -199,8 +199,9 @@
             return readChunk(self, std::move(handler));
         auto chunk = std::move(prefetched.front());
         prefetched.pop_front();
-        asio::post(stream.get_executor(),
-            [handler = std::move(handler), chunk = std::move(chunk)]() mutable { handler(true, std::move(chunk)); });
+        asio::post(stream.get_executor(), [handler = std::move(handler), chunk = std::move(chunk)]() mutable {
+            handler(true, std::move(chunk));
+        });
     }
 
     // A caller that closes its connection waits for its answer no longer.
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -200,8 +200,7 @@
 
 std::optional<TargetBreaker::State> GuardedTarget::takeBreakerChange()
 {
-    const auto state
-        = m_breaker ? m_breaker->state(util::BootClock::now()) : TargetBreaker::State::Closed;
+    const auto state = m_breaker ? m_breaker->state(util::BootClock::now()) : TargetBreaker::State::Closed;
     if (state == m_breakerTold)
         return std::nullopt;
     m_breakerTold = state;
--- a/tarragonhaven/quota_admission.cc
+++ b/tarragonhaven/quota_admission.cc
@@ -128,7 +128,8 @@
     const auto detail = absl::StrCat(std::string(name(decision.reason)), ", own ", decision.own,
         ", elsewhere ", decision.elsewhere, " of ", decision.limit, ", known for ", age, " ms");
     boost::asio::post(m_parts.io, [handler, detail] {
-        handler(tl::unexpected(Refusal { RefusalReason::RateExceeded, RunState::NotRun, retryAfter, detail }));
+        handler(
+            tl::unexpected(Refusal { RefusalReason::RateExceeded, RunState::NotRun, retryAfter, detail }));
     });
 }
 
@@ -142,8 +143,8 @@
     const auto now = util::BootClock::now();
     auto& quota = ledger(QuotaKind::Retries).quota;
     const auto& policy = m_parts.policy;
-    const double limit = retryShareUsed
-        * (policy.retryShare * quota.askedEverywhere(service.text, now) + policy.retrySlack);
+    const double limit
+        = retryShareUsed * (policy.retryShare * quota.askedEverywhere(service.text, now) + policy.retrySlack);
     return quota.decide(service.text, limit, m_nodes.size(), now, true).admitted;
 }
 
--- a/tarragonhaven/quota_totals.h
+++ b/tarragonhaven/quota_totals.h
@@ -9,8 +9,9 @@
 
 namespace tarragonhaven {
 
-// Adds up what nodes report under names. The node that a hash finds for a name does this; it decides nothing, and keeps nothing that the next reports would not bring again. The use that a
-// node reported fades over a window after its last report, as it does at the node itself.
+// Adds up what nodes report under names. The node that a hash finds for a name does this; it decides nothing,
+// and keeps nothing that the next reports would not bring again. The use that a node reported fades over a
+// window after its last report, as it does at the node itself.
 class QuotaTotals {
 public:
     explicit QuotaTotals(util::Duration window)
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -59,9 +59,9 @@
         options.bufferedAnswerBytes = bufferedAnswerBytes;
         options.quickTries = quickTries;
         options.spillLoad = spillLoad;
-    options.queueShareOfObjective = queueShareOfObjective;
-    options.unprovenWeight = unprovenWeight;
-    options.insistAtLast = true;
+        options.queueShareOfObjective = queueShareOfObjective;
+        options.unprovenWeight = unprovenWeight;
+        options.insistAtLast = true;
         options.preferOwnInstance = true;
         options.endAnswersOfWithdrawnKeys = false;
         options.deadlineCoversBody = true;
--- a/tarragonhaven/target_chooser.cc
+++ b/tarragonhaven/target_chooser.cc
@@ -12,7 +12,8 @@
 double costOf(const TargetView& view, double unprovenWeight)
 {
     const double unproven = 1 + unprovenWeight * view.unprovenSeconds;
-    return (1 + view.load) * view.slowdown * unproven / std::max(view.weight, chooser_detail::probationChance);
+    return (1 + view.load) * view.slowdown * unproven
+        / std::max(view.weight, chooser_detail::probationChance);
 }
 
 namespace chooser_detail {
@@ -48,8 +49,8 @@
 
     TargetChoice cheapest(const std::vector<const TargetView*>& views, double unprovenWeight)
     {
-        const auto best = std::min_element(views.begin(), views.end(),
-            [unprovenWeight](const TargetView* a, const TargetView* b) {
+        const auto best = std::min_element(
+            views.begin(), views.end(), [unprovenWeight](const TargetView* a, const TargetView* b) {
                 return costOf(*a, unprovenWeight) < costOf(*b, unprovenWeight);
             });
         if (best == views.end())
--- a/tarragonhaven/target_chooser.h
+++ b/tarragonhaven/target_chooser.h
@@ -97,8 +97,7 @@
         return { view->target, { { view->target->name, costOf(*view) } }, "probation" };
     }
     if (request.leastLoaded)
-        return chooser_detail::cheapest(
-            chooser_detail::usable(views, request), request.unprovenWeight);
+        return chooser_detail::cheapest(chooser_detail::usable(views, request), request.unprovenWeight);
     const auto candidates
         = chooser_detail::preferred(chooser_detail::usable(views, request), request.spillLoad, distance);
     if (candidates.empty())
--- a/tarragonhaven/window_quota.cc
+++ b/tarragonhaven/window_quota.cc
@@ -76,8 +76,7 @@
     return use.asked.sum(now) + (known(use, now) ? use.elsewhere->asked : 0.0);
 }
 
-QuotaDecision WindowQuota::judge(
-    Use& use, double limit, std::size_t nodes, util::Time now, bool final) const
+QuotaDecision WindowQuota::judge(Use& use, double limit, std::size_t nodes, util::Time now, bool final) const
 {
     const auto own = use.admitted.sum(now);
     const auto asked = use.asked.sum(now);
@@ -91,8 +90,8 @@
             return { true, QuotaReason::FarBelow, own, elsewhere.admitted, limit, age };
         if (age <= m_options.exactFor) {
             const double share = static_cast<double>(asked) / std::max<double>(1, asked + elsewhere.asked);
-            const bool within = own < kept * share
-                && own + elsewhere.admitted + 1 <= limit + slackUsed * m_options.slack;
+            const bool within
+                = own < kept * share && own + elsewhere.admitted + 1 <= limit + slackUsed * m_options.slack;
             return { within, within ? QuotaReason::WithinShare : QuotaReason::BeyondShare, own,
                 elsewhere.admitted, limit, age };
         }
