Let the fake target's sessions end before what they use

Ruled out: the io_context as the last member to be made, which leaves timers that were made from it behind it.

--- a/tarragonhaven/testing/fake_target.cc
+++ b/tarragonhaven/testing/fake_target.cc
@@ -53,6 +53,13 @@
     {
         io.stop();
         thread.join();
+        // Sessions that the context still owns use this object when they end: let them end before it.
+        const auto open = sessions;
+        for (const auto& close : open)
+            close.second();
+        restart.cancel();
+        io.restart();
+        io.poll();
     }
 
     void accept(tcp::socket socket);
