Let calls of targets wait until their deadline, bound the log, use cold targets less

Entry::accept asked whether a request was a call of a target before it had set the rank that tells, so calls gave up a queue after 1.5 objectives like any other request, and with them the whole request that had made them. coldUntil was kept up and read by nobody.

The rank is set first. Targets that say they are cold get 0.4 of their share. LogWriter's thread owns its channels and is left behind when it cannot end within 300 ms. Lines and bytes a second are bounded by settings; refusals and failed tries are warnings now and go before successes; what is left out is summed up in a line a second. Dead: DirectoryTracker::records(), complete(), RouteSplitter::clear().

--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -110,12 +110,4 @@
     return std::make_shared<const Directory>(std::move(targets), m_options.peerPort);
 }
 
-std::vector<TargetRecord> DirectoryTracker::records() const
-{
-    std::vector<TargetRecord> records;
-    for (const auto& [name, entry] : m_entries)
-        records.push_back(entry.record);
-    return records;
-}
-
 } // namespace tarragonhaven
--- a/tarragonhaven/directory_tracker.h
+++ b/tarragonhaven/directory_tracker.h
@@ -45,11 +45,8 @@
 
     // Whether a target's grace is running.
     [[nodiscard]] bool pending() const;
-    // Whether a list was taken in.
-    [[nodiscard]] bool complete() const { return m_complete; }
     // The directory, or null when nothing has changed since the last call.
     DirectoryPointer takeChanged();
-    [[nodiscard]] std::vector<TargetRecord> records() const;
 
 private:
     struct Entry {
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -105,7 +105,7 @@
     const std::string& requestId, const OrganisationName& organisation, const Refusal& refusal)
 {
     m_parts.metrics.noteRefusal(organisation, refusal);
-    m_parts.log.write(LogLevel::Info, "refusal",
+    m_parts.log.write(LogLevel::Warning, "refusal",
         { { "request", requestId }, { "organisation", organisation.text }, { "reason", name(refusal.reason) },
             { "run", name(refusal.run) }, { "detail", refusal.detail } });
 }
@@ -202,6 +202,7 @@
     accepted.context.service = m_splitter.next(accepted.route);
     accepted.context.idempotent = accepted.route.idempotent;
     accepted.context.deadline = deadlineOf(head, accepted.route);
+    accepted.context.rank = rankOf(accepted.route, *organisation);
     const auto patience = util::fromSeconds(
         m_parts.options.queueShareOfObjective * util::toSeconds(accepted.route.objective));
     // What a target calls while it runs a request is waited for: without it the whole request is lost.
@@ -210,7 +211,6 @@
         accepted.context.queueUntil = util::BootClock::now() + patience;
     accepted.context.deadlineCoversBody = m_parts.options.deadlineCoversBody;
     accepted.context.callerService = m_parts.options.callerService;
-    accepted.context.rank = rankOf(accepted.route, *organisation);
     dropOwnFields(head);
     accepted.head = std::move(head);
     if (accepted.identity.size() > maximumIdentityLength)
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -208,7 +208,7 @@
 // Notes why a try failed, for the tries that follow and for other requests.
 void EntryExchange::noteRefusal(const Refusal& refusal)
 {
-    m_entry.parts().log.write(LogLevel::Info, "try-failed",
+    m_entry.parts().log.write(LogLevel::Warning, "try-failed",
         { { "request", m_request.context.requestId }, { "target", m_target.text }, { "try", m_tries },
             { "reason", name(refusal.reason) }, { "run", name(refusal.run) }, { "detail", refusal.detail } });
     if (refusal.reason == RefusalReason::NoFreeSlot) {
--- a/tarragonhaven/log_channel.cc
+++ b/tarragonhaven/log_channel.cc
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr std::size_t ringLines = 8192;
+    constexpr util::Duration summaryInterval = std::chrono::seconds(1);
 
     const char* levelName(LogLevel level)
     {
@@ -26,9 +27,10 @@
 
 } // namespace
 
-LogChannel::LogChannel(std::string instance, LogLevel threshold)
+LogChannel::LogChannel(std::string instance, LogLevel threshold, const LogBudgetOptions& budget)
     : m_instance(std::move(instance))
     , m_threshold(threshold)
+    , m_budget(budget, util::BootClock::now())
     , m_ring(ringLines)
 {
 }
@@ -37,13 +39,52 @@
 {
     if (!enabled(level))
         return;
+    const auto now = util::BootClock::now();
+    summarize(now);
+    if (!m_budget.admits(level, now) || !push(level, kind, fields))
+        noteLeftOut(kind, now);
+}
+
+void LogChannel::tick()
+{
+    if (!m_unreported.empty())
+        summarize(util::BootClock::now());
+}
+
+bool LogChannel::push(LogLevel level, const char* kind, const nlohmann::ordered_json& fields)
+{
     nlohmann::ordered_json line;
     line["time"] = absl::FormatTime("%Y-%m-%dT%H:%M:%E6SZ", absl::Now(), absl::UTCTimeZone());
     line["level"] = levelName(level);
     line["instance"] = m_instance;
     line["kind"] = kind;
     line.update(fields);
-    m_ring.push({ level, line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) });
+    auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    const auto bytes = text.size();
+    if (!m_ring.push({ level, std::move(text) }))
+        return false;
+    m_budget.charge(bytes);
+    ++m_written;
+    return true;
+}
+
+void LogChannel::noteLeftOut(const char* kind, util::Time now)
+{
+    if (m_unreported.empty())
+        m_leftOutSince = now;
+    ++m_unreported[kind];
+    ++m_leftOut;
+}
+
+// The summary has no need of budget: it is one line a second.
+void LogChannel::summarize(util::Time now)
+{
+    if (m_unreported.empty() || now - m_leftOutSince < summaryInterval)
+        return;
+    const nlohmann::ordered_json fields { { "event", "left-out" },
+        { "seconds", util::toSeconds(now - m_leftOutSince) }, { "lines", m_unreported } };
+    if (push(LogLevel::Warning, "log", fields))
+        m_unreported.clear();
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/log_writer.cc
+++ b/tarragonhaven/log_writer.cc
@@ -2,19 +2,23 @@
 
 #include "tarragonhaven/log_writer.h"
 
+#include <atomic>
 #include <chrono>
-#include <iostream>
+#include <future>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <vector>
 
 namespace tarragonhaven {
 
 namespace {
 
     constexpr auto pollInterval = std::chrono::milliseconds(20);
+    // How long the end of the log is waited for; it is part of the time that a process has to end.
+    constexpr auto stopTimeout = std::chrono::milliseconds(300);
 
     log4cplus::LogLevel toLog4cplus(LogLevel level)
     {
@@ -47,9 +51,54 @@
 
 } // namespace
 
-LogWriter::LogWriter(std::string instance, LogLevel threshold)
+class LogWriter::Drain {
+public:
+    LogChannel& add(std::unique_ptr<LogChannel> channel)
+    {
+        m_channels.push_back(std::move(channel));
+        return *m_channels.back();
+    }
+
+    void run()
+    {
+        while (!m_stopping.load()) {
+            if (!drainAll())
+                std::this_thread::sleep_for(pollInterval);
+        }
+        drainAll();
+        m_ended.set_value();
+    }
+
+    // Returns whether everything was written in time.
+    bool stop()
+    {
+        m_stopping.store(true);
+        return m_ended.get_future().wait_for(stopTimeout) == std::future_status::ready;
+    }
+
+private:
+    bool drainAll()
+    {
+        static auto logger = openLogger();
+        std::size_t written = 0;
+        for (const auto& channel : m_channels) {
+            written += channel->ring().drain([](const LogLine& line) {
+                logger.log(toLog4cplus(line.level), line.json, __FILE__, __LINE__);
+            });
+        }
+        return written > 0;
+    }
+
+    std::vector<std::unique_ptr<LogChannel>> m_channels;
+    std::atomic<bool> m_stopping { false };
+    std::promise<void> m_ended;
+};
+
+LogWriter::LogWriter(std::string instance, LogLevel threshold, const LogBudgetOptions& budget)
     : m_instance(std::move(instance))
     , m_threshold(threshold)
+    , m_budget(budget)
+    , m_drain(std::make_shared<Drain>())
 {
 }
 
@@ -57,40 +106,22 @@
 
 LogChannel& LogWriter::channel()
 {
-    m_channels.push_back(std::make_unique<LogChannel>(m_instance, m_threshold));
-    return *m_channels.back();
+    return m_drain->add(std::make_unique<LogChannel>(m_instance, m_threshold, m_budget));
 }
 
 void LogWriter::start()
 {
-    m_thread = std::thread([this] { run(); });
+    m_thread = std::thread([drain = m_drain] { drain->run(); });
 }
 
 void LogWriter::stop()
 {
-    m_stopping.store(true);
-    if (m_thread.joinable())
+    if (!m_thread.joinable())
+        return;
+    if (m_drain->stop())
         m_thread.join();
-}
-
-void LogWriter::run()
-{
-    while (!m_stopping.load()) {
-        if (!drainAll())
-            std::this_thread::sleep_for(pollInterval);
-    }
-    drainAll();
-}
-
-bool LogWriter::drainAll()
-{
-    static auto logger = openLogger();
-    std::size_t written = 0;
-    for (const auto& channel : m_channels) {
-        written += channel->ring().drain(
-            [](const LogLine& line) { logger.log(toLog4cplus(line.level), line.json, __FILE__, __LINE__); });
-    }
-    return written > 0;
+    else
+        m_thread.detach();
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/node.cc
+++ b/tarragonhaven/node.cc
@@ -30,7 +30,7 @@
     explicit Rep(NodeSettings chosen)
         : settings(std::move(chosen))
         , hello(helloOf(settings))
-        , logWriter(settings.instance.text, settings.logLevel)
+        , logWriter(settings.instance.text, settings.logLevel, settings.logBudget)
         , log(logWriter.channel())
         , configuration(settings, hello, logWriter.channel())
         , identitySecret(util::randomHex(secretBytes))
--- a/tarragonhaven/node_settings.h
+++ b/tarragonhaven/node_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/names.h"
 #include "util/time.h"
@@ -22,6 +23,7 @@
     // Peers to learn the configuration from when the platform is away.
     std::vector<Endpoint> seedPeers;
     LogLevel logLevel = LogLevel::Info;
+    LogBudgetOptions logBudget;
     // How long a planned stop waits for requests under way.
     util::Duration drainTimeout {};
     std::uint32_t maximumConnections = 0;
--- a/tarragonhaven/node_settings_parse.cc
+++ b/tarragonhaven/node_settings_parse.cc
@@ -40,6 +40,7 @@
     for (const auto& peer : raw.seedPeers)
         settings.seedPeers.push_back(readAddress(peer, "seed_peers", faults));
     settings.logLevel = readLogLevel(raw.logLevel, faults);
+    settings.logBudget = readLogBudget(raw.logLinesPerSecond, raw.logBytesPerSecond, faults);
     if (raw.drainSeconds < 0 || raw.drainSeconds > longestDrainSeconds)
         faults.push_back({ "drain_seconds", "is not from 0 to 3600" });
     settings.drainTimeout = util::fromSeconds(raw.drainSeconds);
--- a/tarragonhaven/node_settings_parse.h
+++ b/tarragonhaven/node_settings_parse.h
@@ -19,6 +19,8 @@
     std::string platformAddress;
     std::vector<std::string> seedPeers;
     std::string logLevel = "info";
+    double logLinesPerSecond = 0;
+    double logBytesPerSecond = 0;
     double drainSeconds = 0;
     int maximumConnections = 0;
 };
--- a/tarragonhaven/route_splitter.h
+++ b/tarragonhaven/route_splitter.h
@@ -14,8 +14,6 @@
 public:
     // The service for the next request of the route.
     ServiceName next(const Route& route);
-    // Forgets routes, for a new configuration.
-    void clear() { m_credits.clear(); }
 
 private:
     struct Credits {
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -27,6 +27,8 @@
     constexpr util::Duration othersPatience = std::chrono::seconds(2);
     constexpr util::Duration keptLogInterval = std::chrono::seconds(5);
     constexpr int percent = 100;
+    // The share of its slots at which a target is used while it says that it is slow after its start.
+    constexpr double coldShare = 0.4;
     // Beyond this a good answer says nothing of the present, in seconds.
     constexpr double longestUnproven = 4;
 
@@ -418,7 +420,7 @@
         view.target = &state.target;
         view.standing = state.standing.standing();
         view.leaving = state.leaving || state.target.leaving || state.evidence.lastReport().draining;
-        view.weight = state.standing.weight(now);
+        view.weight = state.standing.weight(now) * (now < state.target.coldUntil ? coldShare : 1);
         const auto& report = state.evidence.lastReport();
         const int reported = report.slotsInUse + report.queued + state.sentSinceReport;
         view.load = static_cast<double>(std::max(reported, state.inFlight)) / state.target.slots;
--- a/tarragonhaven/settings_checks.cc
+++ b/tarragonhaven/settings_checks.cc
@@ -4,6 +4,13 @@
 
 namespace tarragonhaven {
 
+namespace {
+
+    constexpr double mostLogLines = 1e6;
+    constexpr double mostLogBytes = 1e9;
+
+} // namespace
+
 void requireText(const std::string& value, const std::string& flag, util::Faults& faults)
 {
     if (value.empty())
@@ -36,6 +43,13 @@
     return LogLevel::Info;
 }
 
+LogBudgetOptions readLogBudget(double linesPerSecond, double bytesPerSecond, util::Faults& faults)
+{
+    requireRange(linesPerSecond, 1, mostLogLines, "log_lines_per_second", faults);
+    requireRange(bytesPerSecond, 1, mostLogBytes, "log_bytes_per_second", faults);
+    return { linesPerSecond, bytesPerSecond };
+}
+
 void requireRange(double value, double low, double high, const std::string& flag, util::Faults& faults)
 {
     if (!(value >= low && value <= high))
--- a/tarragonhaven/settings_checks.h
+++ b/tarragonhaven/settings_checks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "util/error.h"
 
@@ -13,6 +14,7 @@
 void requireText(const std::string& value, const std::string& flag, util::Faults& faults);
 Endpoint readAddress(const std::string& value, const std::string& flag, util::Faults& faults);
 LogLevel readLogLevel(const std::string& value, util::Faults& faults);
+LogBudgetOptions readLogBudget(double linesPerSecond, double bytesPerSecond, util::Faults& faults);
 void requireRange(double value, double low, double high, const std::string& flag, util::Faults& faults);
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -25,6 +25,8 @@
     std::string, metrics_address, "", "Addresses: another IP number and port of the operator endpoint.");
 ABSL_FLAG(std::string, store_address, "", "Addresses: IP number and port of the store that is read.");
 ABSL_FLAG(std::string, log_level, "info", "Log: debug, info, warning or error.");
+ABSL_FLAG(double, log_lines_per_second, 1000, "Log: lines a second of each thread, 1 to 1000000.");
+ABSL_FLAG(double, log_bytes_per_second, 500000, "Log: bytes a second of each thread, 1 to 1000000000.");
 ABSL_FLAG(double, quota_window_seconds, 5, "Limits: window of organisations' limits, 0.1 to 3600 s.");
 ABSL_FLAG(
     double, quota_overshoot, 0.25, "Limits: share by which all nodes together may exceed a limit, 0 to 10.");
@@ -57,6 +59,7 @@
             absl::GetFlag(FLAGS_caller_address), absl::GetFlag(FLAGS_peer_address),
             absl::GetFlag(FLAGS_operator_address), absl::GetFlag(FLAGS_metrics_address),
             absl::GetFlag(FLAGS_store_address), absl::GetFlag(FLAGS_log_level),
+            absl::GetFlag(FLAGS_log_lines_per_second), absl::GetFlag(FLAGS_log_bytes_per_second),
             absl::GetFlag(FLAGS_quota_window_seconds), absl::GetFlag(FLAGS_quota_overshoot),
             absl::GetFlag(FLAGS_quota_slack), absl::GetFlag(FLAGS_retry_window_seconds),
             absl::GetFlag(FLAGS_retry_share), absl::GetFlag(FLAGS_retry_slack),
@@ -68,8 +71,9 @@
         return util::applyEnvironment(environmentPrefix,
             { "boot", "fleet", "label", "data_centre", "service", "target_address", "caller_address",
                 "peer_address", "operator_address", "metrics_address", "store_address", "log_level",
-                "quota_window_seconds", "quota_overshoot", "quota_slack", "retry_window_seconds",
-                "retry_share", "retry_slack", "floor_share", "grace_seconds" });
+                "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
+                "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
+                "grace_seconds" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_node.h
+++ b/tarragonhaven/sidecar_node.h
@@ -30,7 +30,7 @@
     template <typename MakeStore>
     SidecarNode(SidecarSettings settings, const HttpDialect& dialect, MakeStore makeStore)
         : m_settings(std::move(settings))
-        , m_logWriter(m_settings.label, m_settings.logLevel)
+        , m_logWriter(m_settings.label, m_settings.logLevel, m_settings.logBudget)
         , m_log(m_logWriter.channel())
         , m_discovery(std::move(makeStore), directoryOptions(m_settings), m_logWriter.channel())
         , m_traffic({ m_settings, helloOf(m_settings), m_state, m_logWriter.channel(), m_discovery.events(),
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -54,6 +54,7 @@
     settings.storeAddress = readAddress(raw.storeAddress, "store_address", faults);
     settings.instance = { settings.peerAddress.address };
     settings.logLevel = readLogLevel(raw.logLevel, faults);
+    settings.logBudget = readLogBudget(raw.logLinesPerSecond, raw.logBytesPerSecond, faults);
     settings.policy = readPolicy(raw, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/endpoint.h"
 #include "tarragonhaven/fleet_policy.h"
+#include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/names.h"
 #include "util/error.h"
@@ -28,6 +29,7 @@
     std::optional<Endpoint> metricsAddress;
     Endpoint storeAddress;
     LogLevel logLevel = LogLevel::Info;
+    LogBudgetOptions logBudget;
     FleetPolicy policy;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
@@ -46,6 +48,8 @@
     std::string metricsAddress;
     std::string storeAddress;
     std::string logLevel = "info";
+    double logLinesPerSecond = 0;
+    double logBytesPerSecond = 0;
     double quotaWindowSeconds = 0;
     double quotaOvershoot = 0;
     double quotaSlack = 0;
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -205,6 +205,7 @@
         m_entry.tick();
         m_peerSessions.tidy();
     }
+    m_parts.log.tick();
     if (m_stopping)
         drainTick();
     m_tickTimer.expires_after(tickInterval);
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -23,6 +23,8 @@
 ABSL_FLAG(std::vector<std::string>, seed_peers, {},
     "Addresses: peer addresses, with commas, to learn the configuration from when the platform is away.");
 ABSL_FLAG(std::string, log_level, "info", "Log: debug, info, warning or error.");
+ABSL_FLAG(double, log_lines_per_second, 1000, "Log: lines a second of each thread, 1 to 1000000.");
+ABSL_FLAG(double, log_bytes_per_second, 500000, "Log: bytes a second of each thread, 1 to 1000000000.");
 ABSL_FLAG(double, drain_seconds, 20, "Limits: how long a planned stop waits for requests, 0 to 3600 s.");
 ABSL_FLAG(int, maximum_connections, 10000, "Limits: callers' connections at once, 1 to 100000.");
 
@@ -43,8 +45,9 @@
     return { absl::GetFlag(FLAGS_fleet), absl::GetFlag(FLAGS_instance), absl::GetFlag(FLAGS_data_centre),
         absl::GetFlag(FLAGS_caller_address), absl::GetFlag(FLAGS_peer_address),
         absl::GetFlag(FLAGS_operator_address), absl::GetFlag(FLAGS_platform_address),
-        absl::GetFlag(FLAGS_seed_peers), absl::GetFlag(FLAGS_log_level), absl::GetFlag(FLAGS_drain_seconds),
-        absl::GetFlag(FLAGS_maximum_connections) };
+        absl::GetFlag(FLAGS_seed_peers), absl::GetFlag(FLAGS_log_level),
+        absl::GetFlag(FLAGS_log_lines_per_second), absl::GetFlag(FLAGS_log_bytes_per_second),
+        absl::GetFlag(FLAGS_drain_seconds), absl::GetFlag(FLAGS_maximum_connections) };
 }
 
 int reportFaults(const util::Faults& faults)
@@ -61,7 +64,8 @@
     absl::SetProgramUsageMessage(usage);
     const auto environmentFaults = util::applyEnvironment(environmentPrefix,
         { "fleet", "instance", "data_centre", "caller_address", "peer_address", "operator_address",
-            "platform_address", "seed_peers", "log_level", "drain_seconds", "maximum_connections" });
+            "platform_address", "seed_peers", "log_level", "log_lines_per_second", "log_bytes_per_second",
+            "drain_seconds", "maximum_connections" });
     const auto rest = absl::ParseCommandLine(argumentCount, arguments);
     if (rest.size() > 1)
         return reportFaults({ { rest[1], "is not a flag" } });
--- a/tarragonhaven/testing/declaration_test.cc
+++ b/tarragonhaven/testing/declaration_test.cc
@@ -204,12 +204,13 @@
 TEST_CASE("settings are checked together")
 {
     RawNodeSettings raw { "f", "i", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", {},
-        "info", 20, 100 };
+        "info", 1000, 500000, 20, 100 };
     CHECK(parseNodeSettings(raw));
     raw.instance = "";
     raw.callerAddress = "localhost:1";
     raw.peerAddress = "127.0.0.1:3";
     raw.logLevel = "loud";
+    raw.logLinesPerSecond = 0;
     raw.drainSeconds = -1;
     raw.maximumConnections = 0;
     raw.seedPeers = { "127.0.0.1:99999" };
@@ -219,8 +220,8 @@
     for (const auto& fault : parsed.error())
         named.insert(fault.path);
     CHECK(named
-        == std::set<std::string> { "instance", "caller_address", "log_level", "drain_seconds",
-            "maximum_connections", "seed_peers" });
+        == std::set<std::string> { "instance", "caller_address", "log_level", "log_lines_per_second",
+            "drain_seconds", "maximum_connections", "seed_peers" });
 }
 
 } // namespace tarragonhaven::testing
--- a/tarragonhaven/testing/service_health_test.cc
+++ b/tarragonhaven/testing/service_health_test.cc
@@ -255,4 +255,17 @@
     CHECK(chooseTarget(feed.health.views(feed.clock.now()), { true, all }, local, random).target == nullptr);
 }
 
+TEST_CASE("a target that is still slow after its start is used for a share of its slots")
+{
+    auto service = Feed::makeService({ 5, 5 }, 50, EjectionStance::Balanced);
+    const util::Time now { std::chrono::hours(1) };
+    service.targets[1].coldUntil = now + std::chrono::seconds(2);
+    const ServiceHealth health(service);
+    const auto views = health.views(now);
+    CHECK(views[0].weight == 1);
+    CHECK(views[1].weight > 0);
+    CHECK(views[1].weight <= 0.5);
+    CHECK(health.views(now + std::chrono::seconds(2))[1].weight == 1);
+}
+
 } // namespace tarragonhaven::testing
--- /dev/null
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -0,0 +1,55 @@
+#include "tarragonhaven/sidecar_settings.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace tarragonhaven;
+
+namespace {
+
+RawSidecarSettings sound()
+{
+    RawSidecarSettings raw;
+    raw.fleet = "f";
+    raw.label = "n1";
+    raw.dataCentre = "east";
+    raw.service = "status";
+    raw.targetAddress = "10.0.0.1:8000";
+    raw.callerAddress = "10.0.0.1:8001";
+    raw.peerAddress = "10.0.0.1:7000";
+    raw.operatorAddress = "10.0.0.1:8002";
+    raw.storeAddress = "10.200.0.1:8545";
+    raw.logLinesPerSecond = 1000;
+    raw.logBytesPerSecond = 500000;
+    raw.quotaWindowSeconds = 5;
+    raw.retryWindowSeconds = 10;
+    raw.graceSeconds = 6;
+    return raw;
+}
+
+} // namespace
+
+TEST_CASE("settings of a node that discovers its targets are checked together")
+{
+    const auto parsed = parseSidecarSettings(sound());
+    REQUIRE(parsed);
+    CHECK(parsed->instance.text == "10.0.0.1");
+    CHECK(parsed->policy.quotaWindow == std::chrono::seconds(5));
+    CHECK_FALSE(parsed->metricsAddress);
+    auto raw = sound();
+    raw.service = "";
+    raw.metricsAddress = "here";
+    raw.logLevel = "loud";
+    raw.logBytesPerSecond = -1;
+    raw.quotaOvershoot = 11;
+    raw.floorShare = 1.5;
+    raw.graceSeconds = 0;
+    const auto refused = parseSidecarSettings(raw);
+    REQUIRE_FALSE(refused);
+    std::set<std::string> named;
+    for (const auto& fault : refused.error())
+        named.insert(fault.path);
+    CHECK(named
+        == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
+            "quota_overshoot", "floor_share", "grace_seconds" });
+}
