--- a/tarragonhaven/discovery_duty.h
+++ b/tarragonhaven/discovery_duty.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/configuration_holder.h"
 #include "tarragonhaven/directory_tracker.h"
+#include "tarragonhaven/discovery_counters.h"
 #include "tarragonhaven/discovery_event.h"
 #include "tarragonhaven/log_channel.h"
 #include "tarragonhaven/record_store.h"
@@ -42,6 +43,7 @@
     DiscoveryDuty& operator=(const DiscoveryDuty&) = delete;
 
     [[nodiscard]] EventRing& events() { return m_events; }
+    [[nodiscard]] const DiscoveryCounters& counters() const { return m_counters; }
 
     void start()
     {
@@ -90,7 +92,7 @@
         m_store.list([this](tl::expected<RecordListing, StoreFault> listing) {
             if (!listing)
                 return failed(listing.error(), &DiscoveryDuty::list);
-            answered();
+            answered(listing->asOf);
             for (const auto& rejected : listing->rejected)
                 noteRejected(rejected);
             if (listing->declarations)
@@ -109,7 +111,7 @@
                 return failed(changes.error(),
                     changes.error().kind == StoreFault::Kind::HistoryGone ? &DiscoveryDuty::list
                                                                           : &DiscoveryDuty::watch);
-            answered();
+            answered(std::max(m_asOf, changes->asOf));
             for (const auto& change : changes->changes)
                 std::visit([this](const auto& item) { this->take(item); }, change);
             m_asOf = std::max(m_asOf, changes->asOf);
@@ -120,12 +122,14 @@
 
     void failed(const StoreFault& fault, Call again)
     {
+        countFault(fault.kind);
         if (fault.kind == StoreFault::Kind::HistoryGone) {
             m_log.write(LogLevel::Info, "dependency",
                 { { "name", "store" }, { "event", "history-gone" }, { "asOf", m_asOf } });
             return after(util::Duration {}, retryLow, again);
         }
         m_tracker.noteSourceLost(util::BootClock::now());
+        m_counters.reachable.store(false);
         if (std::exchange(m_reachable, false))
             m_log.write(LogLevel::Warning, "dependency",
                 { { "name", "store" }, { "event", "lost" }, { "reason", fault.detail }, { "asOf", m_asOf } });
@@ -134,8 +138,18 @@
         after(retryLow, retryHigh, again);
     }
 
-    void answered()
+    void countFault(StoreFault::Kind kind)
     {
+        auto& calls = m_counters.calls;
+        auto& count = kind == StoreFault::Kind::HistoryGone ? calls.historyGone
+            : kind == StoreFault::Kind::Throttled           ? calls.throttled
+                                                            : calls.failed;
+        count.fetch_add(1, std::memory_order_relaxed);
+    }
+
+    void answered(Revision asOf)
+    {
+        m_counters.noteAnswer(asOf);
         if (!std::exchange(m_reachable, true))
             m_log.write(LogLevel::Info, "dependency",
                 { { "name", "store" }, { "event", "reached" }, { "asOf", m_asOf } });
@@ -173,6 +187,7 @@
 
     void noteRejected(const RejectedRecord& rejected)
     {
+        m_counters.recordsRejected.fetch_add(1, std::memory_order_relaxed);
         m_log.write(LogLevel::Warning, "directory",
             { { "event", "record-rejected" }, { "record", rejected.name }, { "reason", rejected.reason } });
     }
@@ -217,6 +232,7 @@
     ConfigurationHolder m_holder;
     DirectoryTracker m_tracker;
     EventRing m_events;
+    DiscoveryCounters m_counters;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_graceTimer;
     std::mt19937_64 m_random;
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -26,8 +26,6 @@
 
     std::string_view pathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
-    // Before every declared priority.
-    constexpr int internalRank = -1;
     constexpr std::size_t longestRequestId = 200;
 
 } // namespace
@@ -41,6 +39,11 @@
 
 void Entry::apply(ConfigurationPointer configuration, DirectoryPointer directory)
 {
+    const auto now = util::BootClock::now();
+    if (configuration != m_configuration)
+        m_declarationsSince = now;
+    if (directory != m_directory)
+        m_directorySince = now;
     m_configuration = std::move(configuration);
     m_directory = std::move(directory);
     if (m_configuration && m_directory)
@@ -95,6 +98,7 @@
 
 void Entry::logEjection(const ServiceName& service, const EjectionDecision& decision)
 {
+    m_parts.metrics.noteEjection(decision.event);
     m_parts.log.write(LogLevel::Warning, "ejection",
         { { "service", service.text }, { "target", decision.target.text }, { "event", name(decision.event) },
             { "score", decision.score }, { "slotsInUse", decision.slotsInUse },
@@ -176,7 +180,7 @@
 int Entry::rankOf(const Route& route, const Organisation* organisation) const
 {
     if (!organisation && m_parts.options.internalFirst)
-        return internalRank;
+        return rankOfTargets;
     return organisation && organisation->priority ? *organisation->priority : route.priority;
 }
 
@@ -206,7 +210,7 @@
     const auto patience = util::fromSeconds(
         m_parts.options.queueShareOfObjective * util::toSeconds(accepted.route.objective));
     // What a target calls while it runs a request is waited for: without it the whole request is lost.
-    const bool internal = accepted.context.rank == internalRank;
+    const bool internal = accepted.context.rank == rankOfTargets;
     if (patience > util::Duration {} && !internal)
         accepted.context.queueUntil = util::BootClock::now() + patience;
     accepted.context.deadlineCoversBody = m_parts.options.deadlineCoversBody;
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -93,6 +93,9 @@
     [[nodiscard]] const Parts& parts() const { return m_parts; }
     [[nodiscard]] const ConfigurationPointer& configuration() const { return m_configuration; }
     [[nodiscard]] const DirectoryPointer& directory() const { return m_directory; }
+    // Since when they are in force here.
+    [[nodiscard]] util::Time declarationsSince() const { return m_declarationsSince; }
+    [[nodiscard]] util::Time directorySince() const { return m_directorySince; }
     [[nodiscard]] const std::map<ServiceName, ServiceHealth>& services() const { return m_services; }
     [[nodiscard]] bool stopping() const { return m_stopping; }
     [[nodiscard]] RetryGate& retries() { return m_parts.retries ? *m_parts.retries : m_localRetries; }
@@ -124,6 +127,8 @@
     Parts m_parts;
     ConfigurationPointer m_configuration;
     DirectoryPointer m_directory;
+    util::Time m_declarationsSince {};
+    util::Time m_directorySince {};
     RouteSplitter m_splitter;
     std::map<ServiceName, ServiceHealth> m_services;
     // Targets that are left out of choices before the time given.
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -188,29 +188,43 @@
 // Whether the body can be sent again: none of it was taken from the caller, or all of it is here.
 bool EntryExchange::bodyKept() const { return !m_sent || (!m_sentBody.empty() && m_sentBody.back().last); }
 
-bool EntryExchange::mayTryAgain(const Refusal& refusal)
+std::string_view EntryExchange::whyLastTry(const Refusal& refusal)
 {
     const auto now = util::BootClock::now();
-    const bool safe = refusal.run == RunState::NotRun || m_request.context.idempotent;
-    const bool inTime = now + shortestTry < m_request.context.deadline;
-    if (m_cancelled || !safe || !bodyKept() || !inTime || m_tries >= mostTries)
-        return false;
+    if (m_cancelled)
+        return "the caller has left";
+    if (refusal.run != RunState::NotRun && !m_request.context.idempotent)
+        return "it may have run";
+    if (!bodyKept())
+        return "its body was not kept";
+    if (now + shortestTry >= m_request.context.deadline)
+        return "its time is over";
+    if (m_tries >= mostTries)
+        return "tries are used up";
     if (m_runs >= m_request.route.attempts)
-        return false;
+        return "the route's attempts are used up";
     if (!reachedTarget(refusal))
-        return true;
+        return "";
     if (!m_entry.retries().takeRetry(m_request.context.service))
-        return false;
+        return "retries of the service are used up";
     m_entry.parts().metrics.noteRetry();
-    return true;
+    return "";
 }
 
-// Notes why a try failed, for the tries that follow and for other requests.
-void EntryExchange::noteRefusal(const Refusal& refusal)
+bool EntryExchange::tryFailed(const Refusal& refusal)
 {
+    noteRefusal(refusal);
+    const auto last = whyLastTry(refusal);
+    m_entry.parts().metrics.noteTryFailed(refusal);
     m_entry.parts().log.write(LogLevel::Warning, "try-failed",
         { { "request", m_request.context.requestId }, { "target", m_target.text }, { "try", m_tries },
-            { "reason", name(refusal.reason) }, { "run", name(refusal.run) }, { "detail", refusal.detail } });
+            { "reason", name(refusal.reason) }, { "run", name(refusal.run) }, { "detail", refusal.detail },
+            { "again", last.empty() ? std::string_view("yes") : last } });
+    return last.empty();
+}
+
+void EntryExchange::noteRefusal(const Refusal& refusal)
+{
     if (refusal.reason == RefusalReason::NoFreeSlot) {
         m_full.insert(m_target);
         return;
@@ -237,8 +251,7 @@
     if (opened)
         return handler({});
     attemptEnded();
-    noteRefusal(opened.error());
-    if (mayTryAgain(opened.error()))
+    if (tryFailed(opened.error()))
         return tryTarget(handler);
     handler(tl::unexpected(finalRefusal(opened.error())));
 }
@@ -309,16 +322,19 @@
         const Refusal refusal { RefusalReason::TargetFailed, RunState::Unknown, noTargetRetryAfter,
             "the target answered " + std::to_string(head.status) };
         const bool whole = !head.hasBody || (!m_read.empty() && m_read.back().last);
-        noteRefusal(refusal);
-        if (mayTryAgain(refusal)) {
+        if (tryFailed(refusal)) {
             if (whole)
                 m_fallback = WholeAnswer { head, std::exchange(m_read, {}) };
             return tryAgain(handler);
         }
     }
     settle(IdentityOutcome::Completed, head.status);
+    const auto& context = m_request.context;
+    const auto kind = context.rank == rankOfTargets ? RequestClass::OfTarget
+        : context.idempotent                        ? RequestClass::Idempotent
+                                                    : RequestClass::NotIdempotent;
     m_entry.parts().metrics.noteAnswer(
-        m_request.context.service, m_request.context.organisation, util::BootClock::now() - m_started);
+        context.service, context.organisation, kind, util::BootClock::now() - m_started);
     logAnswer(head.status);
     handler(head);
 }
@@ -326,8 +342,7 @@
 void EntryExchange::attemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler)
 {
     m_read.clear();
-    noteRefusal(refusal);
-    if (mayTryAgain(refusal))
+    if (tryFailed(refusal))
         return tryAgain(handler);
     finish(refusal, handler);
 }
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -55,8 +55,12 @@
     void attemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     void tryAgain(const OutcomeHandler<ResponseHead>& handler);
     void replayBody(std::size_t next, const OutcomeHandler<ResponseHead>& handler);
+    // Notes why a try failed, for the tries that follow and for other requests, and decides whether there is
+    // to be another.
+    [[nodiscard]] bool tryFailed(const Refusal& refusal);
     void noteRefusal(const Refusal& refusal);
-    [[nodiscard]] bool mayTryAgain(const Refusal& refusal);
+    // Why the request is not tried again; empty when it is. Takes a retry out of the budget.
+    [[nodiscard]] std::string_view whyLastTry(const Refusal& refusal);
     [[nodiscard]] bool bodyKept() const;
     // What the caller is told at last: an answer that was kept, or the refusal, which is never "not run" when
     // an earlier try may have run.
--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -46,12 +46,35 @@
 
 GuardExchange::~GuardExchange() { release(false); }
 
+void GuardExchange::noteEntered(const Outcome<void>& entered)
+{
+    const auto now = util::BootClock::now();
+    m_record.queued = now - std::exchange(m_stageBegan, now);
+    if (!entered)
+        tell(0, entered.error());
+}
+
+void GuardExchange::tell(int status, std::optional<Refusal> refusal)
+{
+    const auto& onAttempt = m_target->options().onAttempt;
+    if (!onAttempt || m_stageBegan == util::Time {} || std::exchange(m_told, true))
+        return;
+    m_record.status = status;
+    m_record.refusal = std::move(refusal);
+    onAttempt(m_record);
+}
+
 void GuardExchange::open(OutcomeHandler<void> handler)
 {
+    m_stageBegan = util::BootClock::now();
+    m_record = { m_context.requestId, m_target->target().name, m_context.entry, m_context.idempotent,
+        m_context.rank == rankOfTargets, m_target->target().slots, m_target->slotsInUse(),
+        m_target->waiting() };
     m_ticket = m_target->enter(
         m_context, [self = shared_from_this(), handler = std::move(handler)](Outcome<void> entered) {
             if (self->m_cancelled)
                 return;
+            self->noteEntered(entered);
             if (!entered) {
                 self->m_ticket = 0;
                 return handler(tl::unexpected(entered.error()));
@@ -76,7 +99,10 @@
         TargetConnectionOptions { options.unframedAnswers, options.dialect.requestId, options.silence });
     m_connection->connect(m_target->target().address, options.connectTimeout,
         [self = shared_from_this(), handler = std::move(handler)](Outcome<void> connected) {
+            const auto now = util::BootClock::now();
+            self->m_record.connecting = now - std::exchange(self->m_stageBegan, now);
             if (!connected) {
+                self->tell(0, connected.error());
                 self->m_target->noteUnreachable();
                 self->release(false);
             }
@@ -140,7 +166,10 @@
 
 void GuardExchange::noteHead(const Outcome<ResponseHead>& head)
 {
-    m_target->noteResult(m_ticket, resultOf(head), util::BootClock::now() - m_started);
+    const auto now = util::BootClock::now();
+    m_target->noteResult(m_ticket, resultOf(head), now - m_started);
+    m_record.firstByte = now - m_started;
+    tell(head ? head->status : 0, head ? std::nullopt : std::optional(head.error()));
     if (!head || !head->hasBody)
         release(head.has_value());
 }
@@ -165,6 +194,7 @@
 
 void GuardExchange::release(bool keepConnection)
 {
+    tell(0, std::nullopt);
     if (m_connection && keepConnection)
         m_target->giveIdle(std::move(m_connection));
     m_connection.reset();
--- a/tarragonhaven/guard_exchange.h
+++ b/tarragonhaven/guard_exchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "tarragonhaven/attempt_record.h"
 #include "tarragonhaven/exchange.h"
 #include "tarragonhaven/guarded_target.h"
 #include "tarragonhaven/request_context.h"
 
 #include <memory>
+#include <optional>
 
 namespace tarragonhaven {
 
@@ -35,6 +37,9 @@
     // What the answer's head is worth: itself, or a refusal in its place.
     [[nodiscard]] Outcome<ResponseHead> judged(Outcome<ResponseHead> head) const;
     void noteHead(const Outcome<ResponseHead>& head);
+    void noteEntered(const Outcome<void>& entered);
+    // Tells what came of the try, once.
+    void tell(int status, std::optional<Refusal> refusal);
 
     std::shared_ptr<GuardedTarget> m_target;
     RequestContext m_context;
@@ -44,6 +49,10 @@
     bool m_begun = false;
     bool m_cancelled = false;
     util::Time m_started {};
+    AttemptRecord m_record;
+    // When the stage that is under way began, and whether the record was told.
+    util::Time m_stageBegan {};
+    bool m_told = false;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/guard_options.h
+++ b/tarragonhaven/guard_options.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "tarragonhaven/attempt_record.h"
 #include "tarragonhaven/http_dialect.h"
 #include "tarragonhaven/target_breaker.h"
 #include "util/time.h"
 
+#include <functional>
 #include <optional>
 
 namespace tarragonhaven {
@@ -24,6 +26,8 @@
     // How long a connection may have been idle to carry a request: one that may be repeated, and any other.
     util::Duration idleLimit = std::chrono::seconds(30);
     util::Duration idleLimitNotIdempotent = std::chrono::milliseconds(500);
+    // Told of each try at a guarded target when it ends; may be empty.
+    std::function<void(const AttemptRecord&)> onAttempt;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -87,8 +87,10 @@
         refuse(ticket, *refusal);
         return ticket;
     }
-    const auto entry
-        = m_queue.enter({ ticket, context.organisation, queueLimit(context), context.rank }, now);
+    // How long a request may wait does not keep it from a slot that is free.
+    const bool free = m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0;
+    const auto limit = free ? context.deadline : queueLimit(context);
+    const auto entry = m_queue.enter({ ticket, context.organisation, limit, context.rank }, now);
     if (entry.displaced)
         refuse(*entry.displaced, { RefusalReason::QueueFull, RunState::NotRun, queueRetryAfter, "" });
     if (entry.granted)
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -58,6 +58,8 @@
     [[nodiscard]] TargetReport report();
     // Whether a request is at the target or waits for it.
     [[nodiscard]] bool busy() const { return m_queue.inUse() > 0 || m_queue.waiting() > 0; }
+    [[nodiscard]] int slotsInUse() const { return m_queue.inUse(); }
+    [[nodiscard]] int waiting() const { return static_cast<int>(m_queue.waiting()); }
     [[nodiscard]] const Target& target() const { return m_target; }
     [[nodiscard]] const GuardOptions& options() const { return m_options; }
     // The breaker's state, if it differs from that of the last call.
--- /dev/null
+++ b/tarragonhaven/outcome_summary.cc
@@ -0,0 +1,24 @@
+#include "tarragonhaven/outcome_summary.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace tarragonhaven {
+
+void OutcomeSummary::note(std::string_view line)
+{
+    const bool end = line.find("\"kind\":\"answer\"") != std::string_view::npos
+        || line.find("\"kind\":\"refusal\"") != std::string_view::npos
+        || line.find("\"kind\":\"caller-gone\"") != std::string_view::npos;
+    const auto record = end ? parseLogRecord(line) : std::nullopt;
+    if (!record)
+        return;
+    const auto what = record->kind == "answer" ? absl::StrCat("status ", record->text("status"))
+        : record->kind == "refusal"
+        ? absl::StrCat("refused ", record->text("reason"), ", ", record->text("run"))
+        : std::string("the caller left");
+    auto& row = m_rows[what];
+    ++row.count;
+    row.example = record->request;
+}
+
+} // namespace tarragonhaven
--- a/tarragonhaven/quota_admission.cc
+++ b/tarragonhaven/quota_admission.cc
@@ -64,6 +64,7 @@
     if (directory == m_directory || !directory)
         return;
     m_directory = std::move(directory);
+    std::erase_if(m_lost, [this](const InstanceName& node) { return !m_directory->instance(node); });
     std::vector<std::string> nodes;
     for (const auto& [name, instance] : m_directory->instances())
         nodes.push_back(name.text);
@@ -145,7 +146,11 @@
     const auto& policy = m_parts.policy;
     const double limit
         = retryShareUsed * (policy.retryShare * quota.askedEverywhere(service.text, now) + policy.retrySlack);
-    return quota.decide(service.text, limit, m_nodes.size(), now, true).admitted;
+    const auto decision = quota.decide(service.text, limit, m_nodes.size(), now, true);
+    auto& counts = m_retryCounts[service];
+    ++(decision.admitted ? counts.granted : counts.denied);
+    counts.left = limit - decision.own - decision.elsewhere;
+    return decision.admitted;
 }
 
 // Decides again on the requests of an organisation whose use elsewhere has become known, or will not in time.
@@ -194,6 +199,9 @@
     if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
         return;
     m_unanswered.erase(from);
+    if (m_lost.erase(from) > 0)
+        m_parts.log.write(LogLevel::Info, "dependency",
+            { { "name", "quota-keeper" }, { "event", "reached" }, { "keeper", from.text } });
     const auto kind = static_cast<QuotaKind>(message.kind);
     for (const auto& elsewhere : message.elsewhere)
         ledger(kind).quota.noteElsewhere(elsewhere, util::BootClock::now());
@@ -210,6 +218,7 @@
             return false;
         m_silent[item.first] = now + silentFor;
         m_keepers.clear();
+        m_lost.insert(item.first);
         m_parts.log.write(LogLevel::Warning, "dependency",
             { { "name", "quota-keeper" }, { "event", "lost" }, { "keeper", item.first.text } });
         return true;
--- a/tarragonhaven/quota_admission.h
+++ b/tarragonhaven/quota_admission.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -43,6 +44,18 @@
 
     void receive(const Endpoint& source, const InstanceName& from, const QuotaReportMessage& message);
     void receive(const InstanceName& from, const QuotaElsewhereMessage& message);
+    // Retries of a service that were asked for here, and what the bound left at the latest question.
+    struct RetryCounts {
+        std::uint64_t granted = 0;
+        std::uint64_t denied = 0;
+        double left = 0;
+    };
+    [[nodiscard]] const std::map<ServiceName, RetryCounts>& retryCounts() const { return m_retryCounts; }
+    // Nodes that limits are divided among, nodes that do not answer counts, and requests that wait for word.
+    [[nodiscard]] double nodes() const { return static_cast<double>(m_nodes.size()); }
+    [[nodiscard]] double silentKeepers() const { return static_cast<double>(m_silent.size()); }
+    [[nodiscard]] double waiting() const { return static_cast<double>(m_waiting.size()); }
+
     // Sends the reports that are due. Call it some times in a report interval.
     void tick();
 
@@ -81,6 +94,9 @@
     // Reports without an answer yet, by keeper, and keepers that did not answer, until when they are avoided.
     std::map<InstanceName, util::Time> m_unanswered;
     std::map<InstanceName, util::Time> m_silent;
+    // Those that were lost and have not answered since.
+    std::set<InstanceName> m_lost;
+    std::map<ServiceName, RetryCounts> m_retryCounts;
     util::Time m_nextForget {};
 };
 
--- a/tarragonhaven/request_context.h
+++ b/tarragonhaven/request_context.h
@@ -7,6 +7,9 @@
 
 namespace tarragonhaven {
 
+// The rank of requests that targets make while they run others: before every declared priority.
+inline constexpr int rankOfTargets = -1;
+
 // What a node knows of a request besides its head.
 struct RequestContext {
     std::string requestId;
--- a/tarragonhaven/sidecar_node.h
+++ b/tarragonhaven/sidecar_node.h
@@ -34,7 +34,7 @@
         , m_log(m_logWriter.channel())
         , m_discovery(std::move(makeStore), directoryOptions(m_settings), m_logWriter.channel())
         , m_traffic({ m_settings, helloOf(m_settings), m_state, m_logWriter.channel(), m_discovery.events(),
-              dialect })
+              m_discovery.counters(), dialect })
         , m_operators(m_state, m_traffic.statusRequests(), m_traffic.statusReplies())
     {
     }
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -1,7 +1,5 @@
 #include "tarragonhaven/sidecar_traffic.h"
 
-#include "tarragonhaven/traffic_status.h"
-
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -11,7 +9,6 @@
 
     constexpr util::Duration tickInterval = std::chrono::milliseconds(20);
     constexpr unsigned long ticksPerEvaluation = 5;
-    constexpr std::size_t statusRingItems = 16;
     // An instance's callers and links; well under its file descriptors.
     constexpr std::uint32_t maximumConnections = 3000;
     constexpr std::size_t bufferedAnswerBytes = 1024 * 1024;
@@ -28,19 +25,6 @@
     // Before the end of the grace period, to close connections.
     constexpr util::Duration stopMargin = std::chrono::milliseconds(400);
 
-    GuardOptions guardOptions(const HttpDialect& dialect)
-    {
-        GuardOptions options;
-        options.dialect = dialect;
-        options.breaker.emplace();
-        options.predictWaits = true;
-        options.unframedAnswers = true;
-        options.silence = targetSilence;
-        options.connectTimeout = connectTimeout;
-        options.idleLimit = targetIdleLimit;
-        return options;
-    }
-
     StandingOptions standingOptions()
     {
         StandingOptions options;
@@ -75,29 +59,43 @@
 
 SidecarTraffic::SidecarTraffic(Parts parts)
     : m_parts(std::move(parts))
-    , m_guard(m_io, m_parts.settings.instance, m_parts.hello.incarnation, guardOptions(m_parts.dialect))
-    , m_peers(m_io, m_parts.hello, connectTimeout)
-    , m_socket(m_io, m_parts.settings.fleet, m_parts.settings.instance, m_parts.hello.incarnation)
-    , m_admission({ m_io, m_socket, m_parts.log, m_parts.settings.instance, m_parts.settings.policy })
-    , m_entry({ m_io, m_guard, m_peers, m_admission, m_parts.log, m_metrics, m_parts.settings.instance,
-          m_parts.settings.dataCentre, m_parts.hello.incarnation,
+    , m_thread(tickInterval)
+    , m_guard(m_thread.io(), m_parts.settings.instance, m_parts.hello.incarnation, guardOptions())
+    , m_peers(m_thread.io(), m_parts.hello, connectTimeout)
+    , m_socket(m_thread.io(), m_parts.settings.fleet, m_parts.settings.instance, m_parts.hello.incarnation)
+    , m_admission(
+          { m_thread.io(), m_socket, m_parts.log, m_parts.settings.instance, m_parts.settings.policy })
+    , m_entry({ m_thread.io(), m_guard, m_peers, m_admission, m_parts.log, m_metrics,
+          m_parts.settings.instance, m_parts.settings.dataCentre, m_parts.hello.incarnation,
           entryOptions(m_parts.settings, m_parts.dialect), &m_admission })
-    , m_callers(m_io, m_entry, maximumConnections)
-    , m_peerSessions(m_io, *this, m_parts.hello)
-    , m_tickTimer(m_io)
-    , m_statusRequests(statusRingItems)
-    , m_statusReplies(statusRingItems)
+    , m_callers(m_thread.io(), m_entry, maximumConnections)
+    , m_peerSessions(m_thread.io(), *this, m_parts.hello)
+    , m_status(m_thread.io(), [this](const StatusRequest& request) {
+        return StatusReply { request.number, trafficStatusJson(sources()), trafficMetricsText(sources()) };
+    })
 {
     m_parts.events.onPush([this] {
-        boost::asio::post(m_io, [this] {
+        boost::asio::post(m_thread.io(), [this] {
             m_parts.events.drain([this](DiscoveryEvent event) { handleEvent(std::move(event)); });
         });
     });
-    m_statusRequests.onPush([this] {
-        boost::asio::post(m_io, [this] {
-            m_statusRequests.drain([this](const StatusRequest& request) { answerStatus(request); });
-        });
-    });
+}
+
+GuardOptions SidecarTraffic::guardOptions()
+{
+    GuardOptions options;
+    options.dialect = m_parts.dialect;
+    options.breaker.emplace();
+    options.predictWaits = true;
+    options.unframedAnswers = true;
+    options.silence = targetSilence;
+    options.connectTimeout = connectTimeout;
+    options.idleLimit = targetIdleLimit;
+    options.onAttempt = [this](const AttemptRecord& attempt) {
+        m_metrics.noteAttempt(attempt);
+        logAttempt(attempt);
+    };
+    return options;
 }
 
 SidecarTraffic::~SidecarTraffic() { stop(); }
@@ -112,28 +110,18 @@
 
 void SidecarTraffic::start()
 {
-    boost::asio::post(m_io, [this] {
-        m_socket.receive([this](const Endpoint& source,
-                             const ControlEnvelope& envelope) { handleDatagram(source, envelope); },
-            [] {});
-        everyTick();
-    });
-    m_thread = std::thread([this] {
-        const auto work = boost::asio::make_work_guard(m_io);
-        m_io.run();
-    });
+    m_thread.start(
+        [this] {
+            m_socket.receive([this](const Endpoint& source,
+                                 const ControlEnvelope& envelope) { handleDatagram(source, envelope); },
+                [] {});
+        },
+        [this] { everyTick(); });
 }
 
 void SidecarTraffic::stop()
 {
-    m_io.stop();
-    if (!m_thread.joinable())
-        return;
-    m_thread.join();
-    // Handlers that still wait hold exchanges, which use the entry when they end: let them end before it.
-    m_callers.endAll();
-    m_io.restart();
-    m_io.poll();
+    m_thread.stop([this] { m_callers.endAll(); });
 }
 
 ValueFrame SidecarTraffic::value(const std::string& name) { return { name, false, 0, "" }; }
@@ -190,12 +178,37 @@
 void SidecarTraffic::logBreakers()
 {
     for (const auto& change : m_guard.takeBreakerChanges()) {
+        m_metrics.noteBreaker(change.state);
         m_parts.log.write(LogLevel::Warning, "breaker",
             { { "target", change.target.text }, { "state", name(change.state) },
                 { "answers", change.answers }, { "failures", change.failures } });
     }
 }
 
+void SidecarTraffic::logAttempt(const AttemptRecord& attempt)
+{
+    const auto milliseconds = [](util::Duration time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    };
+    nlohmann::ordered_json fields { { "request", attempt.requestId }, { "target", attempt.target.text },
+        { "entry", attempt.entry.text }, { "slots", attempt.slots }, { "slotsInUse", attempt.slotsInUse },
+        { "waiting", attempt.waiting }, { "queuedMs", milliseconds(attempt.queued) } };
+    if (attempt.connecting)
+        fields["connectMs"] = milliseconds(*attempt.connecting);
+    if (attempt.firstByte)
+        fields["firstByteMs"] = milliseconds(*attempt.firstByte);
+    if (attempt.status > 0) {
+        fields["status"] = attempt.status;
+    } else if (attempt.refusal) {
+        fields["reason"] = name(attempt.refusal->reason);
+        fields["run"] = name(attempt.refusal->run);
+        fields["detail"] = attempt.refusal->detail;
+    } else {
+        fields["reason"] = "given-up";
+    }
+    m_parts.log.write(attempt.status > 0 ? LogLevel::Info : LogLevel::Warning, "attempt", std::move(fields));
+}
+
 void SidecarTraffic::everyTick()
 {
     tellEntries();
@@ -208,16 +221,11 @@
     m_parts.log.tick();
     if (m_stopping)
         drainTick();
-    m_tickTimer.expires_after(tickInterval);
-    m_tickTimer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            everyTick();
-    });
 }
 
 void SidecarTraffic::beginStop()
 {
-    boost::asio::post(m_io, [this] {
+    boost::asio::post(m_thread.io(), [this] {
         m_stopping = true;
         m_stopBegan = util::BootClock::now();
         m_parts.state.ready.store(false);
@@ -247,10 +255,9 @@
         m_parts.state.drained.store(true);
 }
 
-void SidecarTraffic::answerStatus(const StatusRequest& request)
+TrafficSources SidecarTraffic::sources() const
 {
-    m_statusReplies.push(
-        { request.number, trafficStatusJson(m_entry, m_guard, m_metrics), m_metrics.exposition() });
+    return { m_entry, m_guard, m_metrics, m_parts.log, &m_admission, &m_parts.counters };
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -9,13 +9,12 @@
 #include "tarragonhaven/peer_set.h"
 #include "tarragonhaven/quota_admission.h"
 #include "tarragonhaven/sidecar_settings.h"
-#include "tarragonhaven/status_request.h"
+#include "tarragonhaven/status_desk.h"
+#include "tarragonhaven/traffic_status.h"
+#include "tarragonhaven/traffic_thread.h"
 #include "util/bounded_ring.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <string>
-#include <thread>
 
 namespace tarragonhaven {
 
@@ -30,6 +29,7 @@
         NodeState& state;
         LogChannel& log;
         util::BoundedRing<DiscoveryEvent>& events;
+        const DiscoveryCounters& counters;
         HttpDialect dialect;
     };
 
@@ -48,8 +48,8 @@
     // Ends the thread.
     void stop();
 
-    [[nodiscard]] util::BoundedRing<StatusRequest>& statusRequests() { return m_statusRequests; }
-    [[nodiscard]] util::BoundedRing<StatusReply>& statusReplies() { return m_statusReplies; }
+    [[nodiscard]] util::BoundedRing<StatusRequest>& statusRequests() { return m_status.requests(); }
+    [[nodiscard]] util::BoundedRing<StatusReply>& statusReplies() { return m_status.replies(); }
 
     Guard& guard() override { return m_guard; }
     ValueFrame value(const std::string& name) override;
@@ -61,23 +61,24 @@
     void applyView();
     void tellEntries();
     void logBreakers();
+    void logAttempt(const AttemptRecord& attempt);
+    [[nodiscard]] GuardOptions guardOptions();
     void everyTick();
     void drainTick();
-    void answerStatus(const StatusRequest& request);
+    [[nodiscard]] TrafficSources sources() const;
 
     Parts m_parts;
-    boost::asio::io_context m_io;
+    // Handlers that wait when the thread has ended may still count.
+    TrafficMetrics m_metrics;
+    TrafficThread m_thread;
     Guard m_guard;
     PeerPool m_peers;
-    TrafficMetrics m_metrics;
     DatagramSocket m_socket;
     QuotaAdmission m_admission;
     Entry m_entry;
     CallerSet m_callers;
     PeerSet m_peerSessions;
-    boost::asio::steady_timer m_tickTimer;
-    util::BoundedRing<StatusRequest> m_statusRequests;
-    util::BoundedRing<StatusReply> m_statusReplies;
+    StatusDesk m_status;
     ConfigurationPointer m_configuration;
     DirectoryPointer m_directory;
     unsigned long m_ticks = 0;
@@ -85,7 +86,6 @@
     bool m_refusing = false;
     bool m_gaveUp = false;
     util::Time m_stopBegan {};
-    std::thread m_thread;
 };
 
 } // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/status_desk.cc
@@ -0,0 +1,28 @@
+#include "tarragonhaven/status_desk.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace tarragonhaven {
+
+namespace {
+
+    // Operators ask seldom; more questions than this at once are refused.
+    constexpr std::size_t ringItems = 16;
+
+} // namespace
+
+StatusDesk::StatusDesk(boost::asio::io_context& io, Answer answer)
+    : m_answer(std::move(answer))
+    , m_requests(ringItems)
+    , m_replies(ringItems)
+{
+    m_requests.onPush([this, &io] { boost::asio::post(io, [this] { answerAll(); }); });
+}
+
+void StatusDesk::answerAll()
+{
+    m_requests.drain([this](const StatusRequest& request) { m_replies.push(m_answer(request)); });
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/testing/metrics_test.cc
@@ -0,0 +1,91 @@
+#include "tarragonhaven/traffic_metrics.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <regex>
+#include <sstream>
+
+using namespace tarragonhaven;
+
+namespace {
+
+// What a reader of the text exposition format sees: types by name, and values by name and labels.
+struct Exposition {
+    std::map<std::string, std::string> types;
+    std::map<std::string, double> values;
+};
+
+Exposition readExposition(const std::string& text)
+{
+    static const std::regex comment("# (HELP|TYPE) ([a-zA-Z_:][a-zA-Z0-9_:]*) (.*)");
+    static const std::regex sample(
+        "([a-zA-Z_:][a-zA-Z0-9_:]*)(\\{([a-zA-Z_]+=\"[^\"\\n]*\",?)*\\})? ([^ ]+)");
+    Exposition result;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+        std::smatch match;
+        if (std::regex_match(line, match, comment)) {
+            if (match[1] == "TYPE")
+                CHECK(result.types.emplace(match[2], match[3]).second);
+            continue;
+        }
+        INFO(line);
+        REQUIRE(std::regex_match(line, match, sample));
+        const auto value = match[4].str();
+        CHECK(result.values.emplace(match[1].str() + match[2].str(), std::stod(value)).second);
+    }
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("metrics can be read in the text exposition format, and histograms add up")
+{
+    TrafficMetrics metrics;
+    for (const int milliseconds : { 1, 10, 10, 3000, 500'000 })
+        metrics.noteAnswer(
+            { "status" }, { "harbour" }, RequestClass::Idempotent, std::chrono::milliseconds(milliseconds));
+    metrics.noteRefusal({ "harbour" }, { RefusalReason::QueueFull, RunState::NotRun, {}, "" });
+    metrics.noteTryFailed({ RefusalReason::TargetFailed, RunState::Unknown, {}, "" });
+    metrics.noteEjection(EjectionEvent::Ejected);
+    AttemptRecord attempt;
+    attempt.queued = std::chrono::milliseconds(20);
+    attempt.firstByte = std::chrono::milliseconds(30);
+    metrics.noteAttempt(attempt);
+    MetricsPage page;
+    metrics.fill(page);
+    const auto seen = readExposition(page.text());
+    CHECK(seen.types.at("tarragonhaven_answers_total") == "counter");
+    CHECK(seen.types.at("tarragonhaven_stage_seconds") == "histogram");
+    CHECK(seen.values.at("tarragonhaven_answers_total") == 5);
+    CHECK(seen.values.at("tarragonhaven_refusals_total{reason=\"queue-full\"}") == 1);
+    CHECK(seen.values.at("tarragonhaven_failed_tries_total{reason=\"target-failed\"}") == 1);
+    CHECK(seen.values.at("tarragonhaven_ejection_events_total{event=\"ejected\"}") == 1);
+    const std::string answer = "tarragonhaven_stage_seconds_bucket{stage=\"answer\",class=\"idempotent\",le=";
+    CHECK(seen.values.at(answer + "\"+Inf\"}") == 5);
+    CHECK(seen.values.at("tarragonhaven_stage_seconds_count{stage=\"queue\",class=\"not-idempotent\"}") == 1);
+    CHECK(seen.values.at("tarragonhaven_stage_seconds_count{stage=\"connection\",class=\"not-idempotent\"}")
+        == 0);
+    double last = 0;
+    int buckets = 0;
+    for (const auto& bucket : LatencyHistogram().buckets()) {
+        CHECK(bucket.upperSeconds > last);
+        last = bucket.upperSeconds;
+        ++buckets;
+    }
+    CHECK(buckets == 24);
+    CHECK(last == Approx(100));
+}
+
+TEST_CASE("a latency histogram counts what is shorter and longer than its range")
+{
+    LatencyHistogram histogram;
+    histogram.note({});
+    histogram.note(std::chrono::microseconds(1));
+    histogram.note(std::chrono::hours(1));
+    const auto buckets = histogram.buckets();
+    CHECK(buckets.front().cumulative == 2);
+    CHECK(buckets.back().cumulative == 2);
+    CHECK(histogram.count() == 3);
+    CHECK(histogram.sumSeconds() == Approx(3600).epsilon(0.001));
+}
--- /dev/null
+++ b/tarragonhaven/testing/request_story_test.cc
@@ -0,0 +1,167 @@
+#include "tarragonhaven/outcome_summary.h"
+#include "tarragonhaven/request_story.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace tarragonhaven;
+
+namespace {
+
+std::string line(
+    const std::string& time, const std::string& instance, const std::string& kind, const std::string& rest)
+{
+    return "{\"time\":\"2026-01-02T03:04:" + time + "Z\",\"level\":\"info\",\"instance\":\"" + instance
+        + "\",\"kind\":\"" + kind + "\"" + (rest.empty() ? "" : "," + rest) + "}";
+}
+
+RequestStory storyOf(const std::vector<std::string>& lines, const std::string& request = "r1")
+{
+    RequestStoryBuilder builder(request);
+    for (const auto& text : lines)
+        builder.note(text);
+    return builder.finish();
+}
+
+bool mentions(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+const std::string route1
+    = line("05.100", "n1", "route", R"("request":"r1","try":1,"target":"t2","revision":7)");
+const std::string attempt1 = line("05.150", "n2", "attempt",
+    R"("request":"r1","target":"t2","slots":5,"slotsInUse":5,"waiting":3,"queuedMs":40,"firstByteMs":8,"reason":"target-failed")");
+const std::string failed1 = line("05.151", "n1", "try-failed",
+    R"("request":"r1","target":"t2","try":1,"reason":"target-failed","run":"unknown","detail":"Connection reset by peer","again":"it may have run")");
+const std::string refused = line("05.152", "n1", "refusal",
+    R"("request":"r1","organisation":"o","reason":"target-failed","run":"unknown","detail":"Connection reset by peer")");
+const std::string opened
+    = line("05.160", "n2", "breaker", R"("target":"t2","state":"open","answers":90,"failures":1)");
+
+} // namespace
+
+TEST_CASE(
+    "a request that a target broke off is told with the target, why it was not tried again, and its breaker")
+{
+    const auto story = storyOf({ route1, attempt1, failed1, refused, opened });
+    CHECK(story.steps.size() == 4);
+    CHECK(mentions(story.outcome, "target-failed"));
+    CHECK(mentions(story.outcome, "unknown"));
+    CHECK(mentions(story.cause, "target t2"));
+    CHECK(mentions(story.cause, "Connection reset by peer"));
+    CHECK(mentions(story.cause, "it may have run"));
+    CHECK(mentions(story.cause, "among the first to meet the failure"));
+    CHECK(story.missing.empty());
+}
+
+TEST_CASE("the order of lines, other requests and text before a line make no difference")
+{
+    std::vector<std::string> lines { route1, attempt1, failed1, refused, opened,
+        line("05.120", "n1", "route", R"("request":"r12","target":"t9")"), "not a line", "{}",
+        "{\"kind\":3}" };
+    const auto expected = toJson(storyOf(lines)).dump();
+    std::mt19937 random(5);
+    for (int i = 0; i < 50; ++i) {
+        std::shuffle(lines.begin(), lines.end(), random);
+        std::vector<std::string> prefixed;
+        for (const auto& text : lines)
+            prefixed.push_back("12.345 n1 " + text);
+        CHECK(toJson(storyOf(prefixed)).dump() == expected);
+    }
+}
+
+TEST_CASE("the cause of each kind of end is told")
+{
+    struct Row {
+        const char* what;
+        std::vector<std::string> lines;
+        std::string cause;
+    };
+    const auto tryFailed = [](const std::string& time, const std::string& target, const std::string& reason) {
+        return line(time, "n1", "try-failed",
+            "\"request\":\"r1\",\"target\":\"" + target + "\",\"try\":1,\"reason\":\"" + reason
+                + "\",\"run\":\"not-run\",\"again\":\"yes\"");
+    };
+    const std::vector<Row> rows {
+        { "a limit",
+            { line("01", "n1", "refusal",
+                R"("request":"r1","organisation":"o","reason":"rate-exceeded","run":"not-run","detail":"beyond-share, own 4")") },
+            "organisation o is at its limit: beyond-share, own 4" },
+        { "no target took it",
+            { tryFailed("01", "t1", "no-free-slot"), tryFailed("02", "t2", "no-free-slot"),
+                tryFailed("03", "t3", "queue-full"),
+                line("04", "n1", "refusal", R"("request":"r1","reason":"no-target","run":"not-run")") },
+            "2 x no-free-slot, 1 x queue-full" },
+        { "nothing known yet",
+            { line("01", "n1", "refusal", R"("request":"r1","reason":"not-ready","run":"not-run")") },
+            "no declarations" },
+        { "an answer, and where its time went",
+            { line("01", "n1", "answer", R"("request":"r1","target":"t1","status":200,"tries":1,"ms":900)"),
+                line("01", "n2", "attempt",
+                    R"("request":"r1","target":"t1","slots":5,"slotsInUse":5,"waiting":2,"queuedMs":700,"firstByteMs":190,"status":200)") },
+            "waited 700 ms for a slot (5 of 5 in use, 2 before it)" },
+        { "the target's own failure",
+            { line("01", "n1", "answer", R"("request":"r1","target":"t1","status":500,"tries":3,"ms":20)") },
+            "the target itself answered 500" },
+        { "a caller that left",
+            { tryFailed("01", "t1", "queue-full"), line("02", "n1", "caller-gone", R"("request":"r1")") },
+            "queue-full" },
+        { "no end", { route1 }, "its end is not in these logs" },
+        { "nothing", {}, "no line about this request" },
+    };
+    for (const auto& row : rows) {
+        INFO(row.what);
+        const auto story = storyOf(row.lines);
+        INFO(story.cause);
+        CHECK(mentions(story.cause, row.cause));
+    }
+}
+
+TEST_CASE("a call that failed under a request is told with it")
+{
+    const auto story = storyOf(
+        { line("01", "n1", "answer", R"("request":"r1","target":"t1","status":500,"tries":1,"ms":20)"),
+            line("00", "n3", "refusal", R"("request":"r1.a","reason":"no-target","run":"not-run")"),
+            line("00", "n3", "refusal", R"("request":"r1a","reason":"queue-full","run":"not-run")") });
+    CHECK(story.calls.size() == 1);
+    CHECK(mentions(story.cause, "its call r1.a was refused: no-target"));
+}
+
+TEST_CASE("what the logs at hand do not say is told")
+{
+    const auto withoutGuard = storyOf({ route1, failed1, refused });
+    REQUIRE(withoutGuard.missing.size() == 1);
+    CHECK(mentions(withoutGuard.missing[0], "the guard of t2"));
+    const auto leftOut = storyOf({ route1, attempt1, failed1, refused,
+        line("06.000", "n1", "log", R"("event":"left-out","lines":{"route":12})"),
+        line("50.000", "n1", "log", R"("event":"left-out","lines":{"route":9})") });
+    REQUIRE(leftOut.missing.size() == 1);
+    CHECK(mentions(leftOut.missing[0], "12"));
+    CHECK(storyOf({ attempt1 }).missing.size() == 1);
+    CHECK(storyOf({}).missing.size() == 1);
+}
+
+TEST_CASE("of old beliefs only what was in force is told")
+{
+    const auto story = storyOf({ line("01.000", "n1", "configuration", R"("revision":3)"),
+        line("02.000", "n1", "configuration", R"("revision":7)"),
+        line("00.000", "n9", "configuration", R"("revision":9)"),
+        line("01.000", "n2", "breaker", R"("target":"t2")"),
+        line("45.000", "n1", "route", R"("request":"r1","target":"t2")") });
+    REQUIRE(story.around.size() == 1);
+    CHECK(story.around[0].text("revision") == "7");
+}
+
+TEST_CASE("ends of requests are counted, with an id for each")
+{
+    OutcomeSummary summary;
+    for (const auto& text :
+        { route1, refused, opened, line("01", "n1", "answer", R"("request":"r2","status":200)"),
+            line("01", "n1", "answer", R"("request":"r3","status":200)") })
+        summary.note(text);
+    REQUIRE(summary.rows().size() == 2);
+    CHECK(summary.rows().at("status 200").count == 2);
+    CHECK(summary.rows().at("refused target-failed, unknown").example == "r1");
+}
--- a/tarragonhaven/traffic_duty.cc
+++ b/tarragonhaven/traffic_duty.cc
@@ -1,7 +1,6 @@
 #include "tarragonhaven/traffic_duty.h"
 
 #include "tarragonhaven/declaration_write.h"
-#include "tarragonhaven/traffic_status.h"
 
 #include <boost/asio/post.hpp>
 
@@ -11,7 +10,6 @@
 
     constexpr util::Duration tickInterval = std::chrono::milliseconds(10);
     constexpr unsigned long ticksPerEvaluation = 5;
-    constexpr std::size_t statusRingItems = 16;
     // How long an idle connection is kept after the stop began: a request that is on its way is still
     // answered, and told that the connection ends.
     constexpr util::Duration idleAfterStop = std::chrono::seconds(1);
@@ -20,35 +18,31 @@
 
 TrafficDuty::TrafficDuty(Parts parts)
     : m_parts(std::move(parts))
-    , m_guard(m_io, m_parts.settings.instance, m_parts.hello.incarnation)
-    , m_peers(m_io, m_parts.hello)
-    , m_control(m_io, m_parts.controlRequests,
+    , m_thread(tickInterval)
+    , m_guard(m_thread.io(), m_parts.settings.instance, m_parts.hello.incarnation)
+    , m_peers(m_thread.io(), m_parts.hello)
+    , m_control(m_thread.io(), m_parts.controlRequests,
           IdentityIssuer(m_parts.settings.instance, m_parts.hello.incarnation, m_parts.identitySecret),
           m_parts.hello.incarnation)
-    , m_entry({ m_io, m_guard, m_peers, m_control, m_parts.log, m_metrics, m_parts.settings.instance,
+    , m_entry({ m_thread.io(), m_guard, m_peers, m_control, m_parts.log, m_metrics, m_parts.settings.instance,
           m_parts.settings.dataCentre, m_parts.hello.incarnation, EntryOptions {} })
-    , m_callers(m_io, m_entry, m_parts.settings.maximumConnections)
-    , m_peerSessions(m_io, *this, m_parts.hello)
-    , m_tickTimer(m_io)
-    , m_statusRequests(statusRingItems)
-    , m_statusReplies(statusRingItems)
+    , m_callers(m_thread.io(), m_entry, m_parts.settings.maximumConnections)
+    , m_peerSessions(m_thread.io(), *this, m_parts.hello)
+    , m_status(m_thread.io(), [this](const StatusRequest& request) {
+        return StatusReply { request.number, trafficStatusJson(sources()), trafficMetricsText(sources()) };
+    })
 {
     m_parts.configurationEvents.onPush([this] {
-        boost::asio::post(m_io, [this] {
+        boost::asio::post(m_thread.io(), [this] {
             m_parts.configurationEvents.drain(
                 [this](ConfigurationEvent event) { handleEvent(std::move(event)); });
         });
     });
     m_parts.controlReplies.onPush([this] {
-        boost::asio::post(m_io, [this] {
+        boost::asio::post(m_thread.io(), [this] {
             m_parts.controlReplies.drain([this](const ControlReply& reply) { handleReply(reply); });
         });
     });
-    m_statusRequests.onPush([this] {
-        boost::asio::post(m_io, [this] {
-            m_statusRequests.drain([this](const StatusRequest& request) { answerStatus(request); });
-        });
-    });
 }
 
 TrafficDuty::~TrafficDuty() { stop(); }
@@ -61,23 +55,12 @@
 
 void TrafficDuty::start()
 {
-    boost::asio::post(m_io, [this] { everyTick(); });
-    m_thread = std::thread([this] {
-        const auto work = boost::asio::make_work_guard(m_io);
-        m_io.run();
-    });
+    m_thread.start([] {}, [this] { everyTick(); });
 }
 
 void TrafficDuty::stop()
 {
-    m_io.stop();
-    if (!m_thread.joinable())
-        return;
-    m_thread.join();
-    // Handlers that still wait hold exchanges, which use the entry when they end: let them end before it.
-    m_callers.endAll();
-    m_io.restart();
-    m_io.poll();
+    m_thread.stop([this] { m_callers.endAll(); });
 }
 
 ValueFrame TrafficDuty::value(const std::string& name)
@@ -154,16 +137,11 @@
     m_parts.log.tick();
     if (m_stopping)
         drainTick();
-    m_tickTimer.expires_after(tickInterval);
-    m_tickTimer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            everyTick();
-    });
 }
 
 void TrafficDuty::beginStop()
 {
-    boost::asio::post(m_io, [this] {
+    boost::asio::post(m_thread.io(), [this] {
         m_stopping = true;
         m_stopBegan = util::BootClock::now();
         m_parts.state.ready.store(false);
@@ -185,10 +163,6 @@
         m_parts.state.drained.store(true);
 }
 
-void TrafficDuty::answerStatus(const StatusRequest& request)
-{
-    m_statusReplies.push(
-        { request.number, trafficStatusJson(m_entry, m_guard, m_metrics), m_metrics.exposition() });
-}
+TrafficSources TrafficDuty::sources() const { return { m_entry, m_guard, m_metrics, m_parts.log }; }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/traffic_duty.h
+++ b/tarragonhaven/traffic_duty.h
@@ -9,15 +9,14 @@
 #include "tarragonhaven/node_settings.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/peer_set.h"
-#include "tarragonhaven/status_request.h"
+#include "tarragonhaven/status_desk.h"
+#include "tarragonhaven/traffic_status.h"
+#include "tarragonhaven/traffic_thread.h"
 #include "util/bounded_ring.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <set>
 #include <string>
-#include <thread>
 
 namespace tarragonhaven {
 
@@ -50,8 +49,8 @@
     // Ends the thread.
     void stop();
 
-    [[nodiscard]] util::BoundedRing<StatusRequest>& statusRequests() { return m_statusRequests; }
-    [[nodiscard]] util::BoundedRing<StatusReply>& statusReplies() { return m_statusReplies; }
+    [[nodiscard]] util::BoundedRing<StatusRequest>& statusRequests() { return m_status.requests(); }
+    [[nodiscard]] util::BoundedRing<StatusReply>& statusReplies() { return m_status.replies(); }
 
     Guard& guard() override { return m_guard; }
     ValueFrame value(const std::string& name) override;
@@ -63,27 +62,25 @@
     void updateReadiness();
     void everyTick();
     void drainTick();
-    void answerStatus(const StatusRequest& request);
+    [[nodiscard]] TrafficSources sources() const;
     void markLeaving();
 
     Parts m_parts;
-    boost::asio::io_context m_io;
+    // Handlers that wait when the thread has ended may still count.
+    TrafficMetrics m_metrics;
+    TrafficThread m_thread;
     Guard m_guard;
     PeerPool m_peers;
-    TrafficMetrics m_metrics;
     ControlClient m_control;
     Entry m_entry;
     CallerSet m_callers;
     PeerSet m_peerSessions;
-    boost::asio::steady_timer m_tickTimer;
-    util::BoundedRing<StatusRequest> m_statusRequests;
-    util::BoundedRing<StatusReply> m_statusReplies;
+    StatusDesk m_status;
     std::set<InstanceName> m_listedLeaving;
     FleetView m_view;
     unsigned long m_ticks = 0;
     bool m_stopping = false;
     util::Time m_stopBegan {};
-    std::thread m_thread;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/traffic_metrics.cc
+++ b/tarragonhaven/traffic_metrics.cc
@@ -1,34 +1,48 @@
 #include "tarragonhaven/traffic_metrics.h"
 
-#include "util/text.h"
-
-#include <absl/strings/str_cat.h>
-
 namespace tarragonhaven {
 
 namespace {
 
-    namespace bh = boost::histogram;
-
-    constexpr double lowestSeconds = 0.0001;
-    constexpr double highestSeconds = 100;
-    constexpr unsigned bins = 48;
     constexpr std::size_t maximumOrganisations = 1000;
     constexpr const char* otherOrganisations = "(others)";
 
-    std::string counter(const std::string& metric, const std::string& help, const std::string& rows)
+    const char* name(RequestClass kind)
     {
-        return absl::StrCat("# HELP ", metric, " ", help, "\n# TYPE ", metric, " counter\n", rows);
+        switch (kind) {
+        case RequestClass::Idempotent:
+            return "idempotent";
+        case RequestClass::NotIdempotent:
+            return "not-idempotent";
+        case RequestClass::OfTarget:
+            return "of-target";
+        }
+        return "";
     }
 
-} // namespace
+    const char* name(Stage stage)
+    {
+        switch (stage) {
+        case Stage::Queue:
+            return "queue";
+        case Stage::Connection:
+            return "connection";
+        case Stage::FirstByte:
+            return "first-byte";
+        case Stage::Answer:
+            return "answer";
+        }
+        return "";
+    }
 
-TrafficMetrics::TrafficMetrics() = default;
+    RequestClass classOf(const AttemptRecord& attempt)
+    {
+        if (attempt.ofTarget)
+            return RequestClass::OfTarget;
+        return attempt.idempotent ? RequestClass::Idempotent : RequestClass::NotIdempotent;
+    }
 
-TrafficMetrics::Histogram TrafficMetrics::makeHistogram()
-{
-    return bh::make_histogram(Axis(bins, lowestSeconds, highestSeconds));
-}
+} // namespace
 
 OrganisationCounts& TrafficMetrics::countsOf(const OrganisationName& organisation)
 {
@@ -39,15 +53,18 @@
     return m_organisations[full ? otherOrganisations : organisation.text];
 }
 
+LatencyHistogram& TrafficMetrics::times(Stage stage, RequestClass kind)
+{
+    return m_stages.at(static_cast<std::size_t>(stage)).at(static_cast<std::size_t>(kind));
+}
+
 void TrafficMetrics::noteAnswer(
-    const ServiceName& service, const OrganisationName& organisation, util::Duration toFirstByte)
+    const ServiceName& service, const OrganisationName& organisation, RequestClass kind, util::Duration took)
 {
     ++m_answers;
     ++countsOf(organisation).answered;
-    auto found = m_latency.find(service);
-    if (found == m_latency.end())
-        found = m_latency.emplace(service, makeHistogram()).first;
-    found->second(util::toSeconds(toFirstByte));
+    m_latency[service].note(took);
+    times(Stage::Answer, kind).note(took);
 }
 
 void TrafficMetrics::noteRefusal(const OrganisationName& organisation, const Refusal& refusal)
@@ -59,42 +76,66 @@
         ++counts.refusedForRate;
 }
 
-std::string TrafficMetrics::exposition() const
+void TrafficMetrics::noteTryFailed(const Refusal& refusal)
+{
+    ++m_triesFailed.at(static_cast<std::size_t>(refusal.reason));
+}
+
+void TrafficMetrics::noteAttempt(const AttemptRecord& attempt)
+{
+    const auto kind = classOf(attempt);
+    times(Stage::Queue, kind).note(attempt.queued);
+    if (attempt.connecting)
+        times(Stage::Connection, kind).note(*attempt.connecting);
+    if (attempt.firstByte)
+        times(Stage::FirstByte, kind).note(*attempt.firstByte);
+}
+
+void TrafficMetrics::fill(MetricsPage& page) const
+{
+    page.counter("answers_total", "Answers of targets passed to callers.", static_cast<double>(m_answers));
+    page.counter("retries_total", "Requests sent to another target.", static_cast<double>(m_retries));
+    page.counter("cut_answers_total", "Answers that ended unfinished.", static_cast<double>(m_cuts));
+    page.gauge("connections", "Open connections of callers.", static_cast<double>(m_connections));
+    fillEvents(page);
+    fillTimes(page);
+}
+
+void TrafficMetrics::fillEvents(MetricsPage& page) const
 {
-    std::string text = counter("tarragonhaven_answers_total", "Answers of targets passed to callers.",
-        absl::StrCat("tarragonhaven_answers_total ", m_answers, "\n"));
-    absl::StrAppend(&text,
-        counter("tarragonhaven_retries_total", "Requests sent to another target.",
-            absl::StrCat("tarragonhaven_retries_total ", m_retries, "\n")));
-    absl::StrAppend(&text,
-        counter("tarragonhaven_cut_answers_total", "Answers that ended unfinished.",
-            absl::StrCat("tarragonhaven_cut_answers_total ", m_cuts, "\n")));
-    std::string rows;
     for (int i = 0; i < refusalReasonCount; ++i) {
-        const auto reason = util::toAbsl(name(static_cast<RefusalReason>(i)));
-        absl::StrAppend(&rows, "tarragonhaven_refusals_total{reason=\"", reason, "\"} ",
-            m_refusals.at(static_cast<std::size_t>(i)), "\n");
+        const auto reason = std::string(tarragonhaven::name(static_cast<RefusalReason>(i)));
+        const auto index = static_cast<std::size_t>(i);
+        page.counter("refusals_total", "Requests refused, by reason.",
+            static_cast<double>(m_refusals.at(index)), { { "reason", reason } });
+        page.counter("failed_tries_total", "Tries at targets that brought no answer, by reason.",
+            static_cast<double>(m_triesFailed.at(index)), { { "reason", reason } });
     }
-    absl::StrAppend(&text, counter("tarragonhaven_refusals_total", "Requests refused, by reason.", rows));
-    absl::StrAppend(&text,
-        "# HELP tarragonhaven_first_byte_seconds Time from a request's head to the head of its ",
-        "answer.\n# TYPE tarragonhaven_first_byte_seconds histogram\n");
-    for (const auto& [service, histogram] : m_latency) {
-        double total = histogram.at(-1);
-        for (int i = 0; i < histogram.axis().size(); ++i) {
-            total += histogram.at(i);
-            absl::StrAppend(&text, "tarragonhaven_first_byte_seconds_bucket{service=\"", service.text,
-                "\",le=\"", histogram.axis().bin(i).upper(), "\"} ", total, "\n");
+    for (std::size_t i = 0; i < ejectionEvents; ++i)
+        page.counter("ejection_events_total", "Changes of targets' standings at this entry.",
+            static_cast<double>(m_ejections.at(i)),
+            { { "event", std::string(tarragonhaven::name(static_cast<EjectionEvent>(i))) } });
+    for (std::size_t i = 0; i < breakerStates; ++i)
+        page.counter("breaker_changes_total", "Changes of the breakers of guarded targets, by new state.",
+            static_cast<double>(m_breakers.at(i)),
+            { { "state", std::string(tarragonhaven::name(static_cast<TargetBreaker::State>(i))) } });
+}
+
+void TrafficMetrics::fillTimes(MetricsPage& page) const
+{
+    for (const auto& [service, latency] : m_latency)
+        page.histogram("first_byte_seconds", "Time from a request's head to the head of its answer.", latency,
+            { { "service", service.text } });
+    for (int stage = 0; stage < stageCount; ++stage) {
+        for (int kind = 0; kind < requestClassCount; ++kind) {
+            const auto& times
+                = m_stages.at(static_cast<std::size_t>(stage)).at(static_cast<std::size_t>(kind));
+            page.histogram("stage_seconds",
+                "Time of tries at this node's targets by stage, and of whole requests at this entry.", times,
+                { { "stage", name(static_cast<Stage>(stage)) },
+                    { "class", name(static_cast<RequestClass>(kind)) } });
         }
-        total += histogram.at(histogram.axis().size());
-        absl::StrAppend(&text, "tarragonhaven_first_byte_seconds_bucket{service=\"", service.text,
-            "\",le=\"+Inf\"} ", total, "\n");
-        absl::StrAppend(
-            &text, "tarragonhaven_first_byte_seconds_count{service=\"", service.text, "\"} ", total, "\n");
     }
-    absl::StrAppend(&text, "# HELP tarragonhaven_connections Open connections of callers.\n",
-        "# TYPE tarragonhaven_connections gauge\ntarragonhaven_connections ", m_connections, "\n");
-    return text;
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -55,10 +55,98 @@
         return rows;
     }
 
+    double secondsSince(util::Time time) { return util::toSeconds(util::BootClock::now() - time); }
+
+    void fillTargets(MetricsPage& page, const Entry& entry, const Guard& guard)
+    {
+        for (const auto& [name, target] : guard.targets()) {
+            const MetricsPage::Labels labels { { "target", name.text } };
+            page.gauge(
+                "guarded_slots", "Slots of a target that this node guards.", target->target().slots, labels);
+            page.gauge("guarded_slots_in_use", "Requests at a target that this node guards.",
+                target->slotsInUse(), labels);
+            page.gauge("guarded_waiting", "Requests that wait for a slot here.", target->waiting(), labels);
+        }
+        const auto now = util::BootClock::now();
+        for (const auto& [service, health] : entry.services()) {
+            std::map<std::string_view, int> counts { { "active", 0 }, { "held", 0 }, { "leaving", 0 },
+                { "not-active", 0 } };
+            for (const auto& view : health.views(now)) {
+                const bool active = view.standing == Standing::Active;
+                ++counts[view.leaving ? "leaving" : view.held ? "held" : active ? "active" : "not-active"];
+            }
+            for (const auto& [state, count] : counts)
+                page.gauge("targets", "Targets of a service as this entry sees them.", count,
+                    { { "service", service.text }, { "state", std::string(state) } });
+            page.gauge("slots_in_use", "Slots of targets that this entry uses.", health.slotsInUse(),
+                { { "service", service.text } });
+        }
+    }
+
+    void fillAges(MetricsPage& page, const Entry& entry)
+    {
+        const auto& configuration = entry.configuration();
+        page.gauge("declarations_revision", "Revision of the declarations in force; 0 for none.",
+            configuration ? static_cast<double>(configuration->revision()) : 0);
+        if (configuration)
+            page.gauge("declarations_age_seconds", "Time since they came into force here.",
+                secondsSince(entry.declarationsSince()));
+        if (entry.directory())
+            page.gauge("directory_age_seconds", "Time since the directory of targets last changed here.",
+                secondsSince(entry.directorySince()));
+    }
+
+    void fillLog(MetricsPage& page, const LogChannel& log)
+    {
+        page.counter(
+            "log_lines_total", "Log lines of the traffic thread.", static_cast<double>(log.written()));
+        page.counter(
+            "log_lines_left_out_total", "Log lines that were left out.", static_cast<double>(log.leftOut()));
+    }
+
+    void fillQuota(MetricsPage& page, const QuotaAdmission& quota)
+    {
+        page.gauge("quota_nodes", "Nodes that limits are divided among.", quota.nodes());
+        page.gauge("quota_keepers_silent", "Nodes that did not answer when they were told counts.",
+            quota.silentKeepers());
+        page.gauge("quota_waiting", "Requests that wait for word on use elsewhere.", quota.waiting());
+        for (const auto& [service, counts] : quota.retryCounts()) {
+            page.counter("retries_granted_total", "Retries within the bound of all nodes.",
+                static_cast<double>(counts.granted), { { "service", service.text } });
+            page.counter("retries_denied_total", "Retries that the bound of all nodes did not allow.",
+                static_cast<double>(counts.denied), { { "service", service.text } });
+            page.gauge("retries_left", "Retries that the bound left at the latest question.", counts.left,
+                { { "service", service.text } });
+        }
+    }
+
+    void fillDiscovery(MetricsPage& page, const DiscoveryCounters& discovery)
+    {
+        const auto calls = [&page](const char* outcome, const std::atomic<std::uint64_t>& count) {
+            page.counter("store_calls_total", "Calls to the store, by outcome.",
+                static_cast<double>(count.load()), { { "outcome", outcome } });
+        };
+        calls("answered", discovery.calls.answered);
+        calls("throttled", discovery.calls.throttled);
+        calls("history-gone", discovery.calls.historyGone);
+        calls("failed", discovery.calls.failed);
+        page.gauge("store_reachable", "Whether the latest call to the store was answered.",
+            discovery.reachable.load() ? 1 : 0);
+        page.gauge("store_as_of", "Revision up to which the store's content is known.",
+            static_cast<double>(discovery.asOf.load()));
+        const util::Time answeredAt { util::Duration(discovery.answeredAt.load()) };
+        if (answeredAt != util::Time {})
+            page.gauge("store_answer_age_seconds", "Time since the store's latest answer.",
+                secondsSince(answeredAt));
+        page.counter("records_rejected_total", "Records of the store that could not be read.",
+            static_cast<double>(discovery.recordsRejected.load()));
+    }
+
 } // namespace
 
-std::string trafficStatusJson(const Entry& entry, const Guard& guard, const TrafficMetrics& metrics)
+std::string trafficStatusJson(const TrafficSources& sources)
 {
+    const auto& [entry, guard, metrics, log, quota, discovery] = sources;
     const auto& configuration = entry.configuration();
     ordered_json status;
     status["instance"] = entry.parts().self.text;
@@ -76,4 +164,18 @@
     return status.dump();
 }
 
+std::string trafficMetricsText(const TrafficSources& sources)
+{
+    MetricsPage page;
+    sources.metrics.fill(page);
+    fillTargets(page, sources.entry, sources.guard);
+    fillAges(page, sources.entry);
+    fillLog(page, sources.log);
+    if (sources.quota)
+        fillQuota(page, *sources.quota);
+    if (sources.discovery)
+        fillDiscovery(page, *sources.discovery);
+    return page.text();
+}
+
 } // namespace tarragonhaven
