--- a/tarragonhaven/testing/fake_target.cc
+++ b/tarragonhaven/testing/fake_target.cc
@@ -33,8 +33,9 @@
 
 class FakeTarget::Rep {
 public:
-    explicit Rep(std::string chosen, const Endpoint& address)
+    Rep(std::string chosen, const Endpoint& address, HttpDialect spoken)
         : name(std::move(chosen))
+        , dialect(std::move(spoken))
         , endpoint(address)
         , listener(std::make_unique<Listener>(io, [this](tcp::socket socket) { accept(std::move(socket)); }))
         , restart(io)
@@ -118,6 +119,7 @@
     }
 
     std::string name;
+    HttpDialect dialect;
     Endpoint endpoint;
     asio::io_context io;
     std::unique_ptr<Listener> listener;
@@ -198,16 +200,25 @@
                     seen.headerLines.push_back(
                         absl::StrCat(std::string(field.name_string()), ": ", std::string(field.value())));
             }
-            for (const char* mark : { "Idempotency-Key", "Request-Mark" }) {
-                const std::string value(m_parser->get()[mark]);
+            const std::string marks[] = { "Idempotency-Key", "Request-Mark", m_rep.dialect.requestId };
+            for (const auto& mark : marks) {
+                const auto value = field(mark);
                 if (!value.empty())
                     ++seen.runs[value];
             }
             return m_rep.plan;
         }
 
+        std::string field(const std::string& name)
+        {
+            return name.empty() ? std::string() : std::string(m_parser->get()[name]);
+        }
+
         void run()
         {
+            const auto meant = field(m_rep.dialect.expectedTarget);
+            if (!meant.empty() && meant != m_rep.name)
+                return answer(http::status::misdirected_request, "another target\n");
             const auto plan = note();
             const std::string path(m_parser->get().target());
             if (!plan.crashOnPath.empty() && path.find(plan.crashOnPath) != std::string::npos)
@@ -256,6 +267,11 @@
             m_response->result(status);
             m_response->version(11);
             m_response->set(http::field::content_type, "application/json");
+            const auto& dialect = m_rep.dialect;
+            if (!dialect.requestId.empty())
+                m_response->set(dialect.requestId, field(dialect.requestId));
+            if (!dialect.signature.empty())
+                m_response->set(dialect.signature, m_rep.name);
             const bool keep = m_parser->get().keep_alive() && status != http::status::service_unavailable;
             m_response->keep_alive(keep);
             const bool chunked = m_parser->get().target().find("chunked") != beast::string_view::npos;
@@ -362,8 +378,8 @@
     std::make_shared<ControlSession<Rep>>(*this, std::move(socket))->start();
 }
 
-FakeTarget::FakeTarget(std::string name, const Endpoint& address)
-    : m_rep(std::make_shared<Rep>(std::move(name), address))
+FakeTarget::FakeTarget(std::string name, const Endpoint& address, HttpDialect dialect)
+    : m_rep(std::make_shared<Rep>(std::move(name), address, std::move(dialect)))
 {
 }
 
--- a/tarragonhaven/testing/fake_target.h
+++ b/tarragonhaven/testing/fake_target.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/http_dialect.h"
 #include "tarragonhaven/testing/fault_plan.h"
 
 #include <map>
@@ -27,7 +28,9 @@
 //   PUT /plan with a FaultPlan as JSON;  GET /seen;  GET /health
 class FakeTarget {
 public:
-    FakeTarget(std::string name, const Endpoint& address);
+    // With a dialect, answers repeat the request's id and are signed, a request that is meant for another
+    // target is told so, and runs are counted by the request's id.
+    FakeTarget(std::string name, const Endpoint& address, HttpDialect dialect = {});
     ~FakeTarget();
     FakeTarget(const FakeTarget&) = delete;
     FakeTarget& operator=(const FakeTarget&) = delete;
--- a/tarragonhaven/testing/http_caller.cc
+++ b/tarragonhaven/testing/http_caller.cc
@@ -18,7 +18,6 @@
     using boost::system::error_code;
     using tcp = asio::ip::tcp;
 
-    constexpr auto answerTimeout = std::chrono::seconds(60);
     constexpr std::uint64_t bodyLimitBytes = 256'000'000;
 
 } // namespace
@@ -30,8 +29,9 @@
 
 class HttpCaller::Rep {
 public:
-    explicit Rep(const Endpoint& chosen)
+    Rep(const Endpoint& chosen, std::chrono::milliseconds chosenPatience)
         : server(chosen)
+        , patience(chosenPatience)
     {
     }
 
@@ -66,7 +66,8 @@
         request.target(wanted.target);
         request.set(http::field::host, toString(server));
         for (const auto& field : wanted.fields)
-            request.insert(field.name, field.value);
+            sameFieldName(field.name, "Host") ? request.set(http::field::host, field.value)
+                                              : request.insert(field.name, field.value);
         request.body() = wanted.body;
         request.prepare_payload();
         error_code error;
@@ -99,21 +100,22 @@
 
     template <typename Start> void run(Start start, error_code& result)
     {
-        stream->expires_after(answerTimeout);
+        stream->expires_after(patience);
         start([&result](error_code error, std::size_t) { result = error; });
         io.restart();
         io.run();
     }
 
     Endpoint server;
+    std::chrono::milliseconds patience;
     asio::io_context io;
     std::optional<beast::tcp_stream> stream;
     beast::flat_buffer buffer;
     bool connected = false;
 };
 
-HttpCaller::HttpCaller(const Endpoint& server)
-    : m_rep(std::make_unique<Rep>(server))
+HttpCaller::HttpCaller(const Endpoint& server, std::chrono::milliseconds patience)
+    : m_rep(std::make_unique<Rep>(server, patience))
 {
 }
 
--- a/tarragonhaven/testing/http_caller.h
+++ b/tarragonhaven/testing/http_caller.h
@@ -3,6 +3,7 @@
 #include "tarragonhaven/endpoint.h"
 #include "tarragonhaven/message_head.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,7 +32,9 @@
 // the other side has closed it.
 class HttpCaller {
 public:
-    explicit HttpCaller(const Endpoint& server);
+    // An answer is waited for as long as `patience`.
+    explicit HttpCaller(
+        const Endpoint& server, std::chrono::milliseconds patience = std::chrono::seconds(60));
     ~HttpCaller();
     HttpCaller(const HttpCaller&) = delete;
     HttpCaller& operator=(const HttpCaller&) = delete;
--- /dev/null
+++ b/tarragonhaven/testing/request_ledger.cc
@@ -0,0 +1,81 @@
+#include "tarragonhaven/testing/request_ledger.h"
+
+#include <algorithm>
+#include <set>
+
+namespace tarragonhaven::testing {
+
+namespace {
+
+    // Statuses that promise that a request has not run and will not.
+    const std::set<int> notRunStatuses { 408, 421, 429, 503 };
+    constexpr int okStatus = 200;
+
+} // namespace
+
+void RequestLedger::add(LedgerEntry entry)
+{
+    const std::lock_guard lock(m_mutex);
+    m_entries.push_back(std::move(entry));
+}
+
+std::vector<LedgerEntry> RequestLedger::entries() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_entries;
+}
+
+void RequestLedger::addRuns(const Runs& runs)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [id, count] : runs)
+        m_runs[id] += count;
+}
+
+int RequestLedger::runsOf(const std::string& id) const
+{
+    const auto found = m_runs.find(id);
+    return found == m_runs.end() ? 0 : found->second;
+}
+
+std::vector<std::string> RequestLedger::broken(const std::vector<WindowLimit>& limits) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> faults;
+    for (const auto& entry : m_entries) {
+        const int runs = runsOf(entry.id);
+        if (!entry.idempotent && runs > 1)
+            faults.push_back(entry.id + ": ran " + std::to_string(runs) + " times");
+        if (!entry.idempotent && runs > 0 && notRunStatuses.contains(entry.status))
+            faults.push_back(entry.id + ": refused with " + std::to_string(entry.status) + " though it ran");
+        if (entry.status == okStatus && entry.whole && !entry.own)
+            faults.push_back(entry.id + ": got an answer that is not its own");
+        if (entry.status == okStatus && entry.whole && runs == 0)
+            faults.push_back(entry.id + ": was answered though no target ran it");
+    }
+    for (const auto& limit : limits)
+        checkLimit(limit, faults);
+    return faults;
+}
+
+void RequestLedger::checkLimit(const WindowLimit& limit, std::vector<std::string>& faults) const
+{
+    std::vector<std::chrono::steady_clock::time_point> ran;
+    for (const auto& entry : m_entries) {
+        if (entry.organisation == limit.organisation && runsOf(entry.id) > 0)
+            ran.push_back(entry.sent);
+    }
+    std::sort(ran.begin(), ran.end());
+    std::size_t first = 0;
+    std::size_t most = 0;
+    for (std::size_t last = 0; last < ran.size(); ++last) {
+        while (ran[last] - ran[first] >= limit.window)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    if (most > limit.most)
+        faults.push_back(limit.organisation + ": " + std::to_string(most) + " requests ran in a window, of "
+            + std::to_string(limit.most));
+}
+
+} // namespace tarragonhaven::testing
--- /dev/null
+++ b/tarragonhaven/testing/request_ledger_test.cc
@@ -0,0 +1,53 @@
+#include "tarragonhaven/testing/request_ledger.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonhaven::testing;
+
+TEST_CASE("the ledger of a soak finds each broken promise, and none where there is none")
+{
+    struct Row {
+        const char* what;
+        bool idempotent;
+        int status;
+        bool whole;
+        bool own;
+        int runs;
+        std::size_t faults;
+    };
+    const Row rows[] = {
+        { "ran once and answered", false, 200, true, true, 1, 0 },
+        { "ran twice", false, 200, true, true, 2, 1 },
+        { "may run twice", true, 200, true, true, 2, 0 },
+        { "refused and not run", false, 503, true, false, 0, 0 },
+        { "refused though it ran", false, 429, true, false, 1, 1 },
+        { "may be refused though it ran", true, 503, true, false, 1, 0 },
+        { "unknown and ran", false, 502, true, false, 1, 0 },
+        { "an answer of another", true, 200, true, false, 1, 1 },
+        { "a cut answer", true, 200, false, false, 1, 0 },
+        { "answered though nothing ran", true, 200, true, true, 0, 1 },
+        { "no answer", false, 0, false, false, 1, 0 },
+    };
+    for (const auto& row : rows) {
+        INFO(row.what);
+        RequestLedger ledger;
+        ledger.add({ "r1", "o", row.idempotent, {}, {}, row.status, row.whole, row.own });
+        if (row.runs > 0)
+            ledger.addRuns({ { "r1", row.runs } });
+        CHECK(ledger.broken({}).size() == row.faults);
+    }
+}
+
+TEST_CASE("the ledger of a soak counts what ran in any window")
+{
+    RequestLedger ledger;
+    const std::chrono::steady_clock::time_point start { std::chrono::hours(1) };
+    for (int i = 0; i < 10; ++i) {
+        const auto id = "r" + std::to_string(i);
+        ledger.add({ id, "o", true, start + std::chrono::milliseconds(100 * i), {}, 200, true, true });
+        ledger.addRuns({ { id, 1 } });
+    }
+    CHECK(ledger.broken({ { "o", std::chrono::milliseconds(500), 5 } }).empty());
+    CHECK(ledger.broken({ { "o", std::chrono::milliseconds(501), 5 } }).size() == 1);
+    CHECK(ledger.broken({ { "other", std::chrono::milliseconds(501), 0 } }).empty());
+}
