--- a/tarragonhaven/discovery_duty.h
+++ b/tarragonhaven/discovery_duty.h
@@ -63,8 +63,10 @@
 
 private:
     static constexpr std::size_t ringEvents = 256;
-    // How long the store may keep a watch waiting. A connection that goes dead is noticed sooner.
-    static constexpr util::Duration watchWait = std::chrono::seconds(25);
+    // How long the store may keep a watch waiting. A connection that goes dead is noticed sooner, but one
+    // that something on the way keeps open without passing anything on only when this time is over. The fleet
+    // is to be well again 15 s after a fault.
+    static constexpr util::Duration watchWait = std::chrono::seconds(10);
     // Changes that come within this time are read together, since each read has its price; a third of the
     // time in which a change has to be in force.
     static constexpr util::Duration gatherTime = std::chrono::milliseconds(650);
--- a/tarragonhaven/testing/spawned_process.cc
+++ b/tarragonhaven/testing/spawned_process.cc
@@ -31,6 +31,8 @@
     posix_spawn_file_actions_addopen(
         &actions, STDOUT_FILENO, output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    // Sockets of this process stay here.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int fault = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, argumentList.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (fault != 0)
