--- a/tarragonhaven/testing/window_quota_test.cc
+++ b/tarragonhaven/testing/window_quota_test.cc
@@ -56,7 +56,7 @@
     {
         m_now += step;
         for (std::size_t node = 0; node < m_quotas.size(); ++node) {
-            if (m_cut)
+            if (node < m_cutOff)
                 continue;
             for (const auto& use : m_quotas[node].takeReports(m_now))
                 exchange(node, use);
@@ -64,7 +64,8 @@
     }
 
     void restart(std::size_t node) { m_quotas[node] = WindowQuota(QuotaOptions {}, m_now); }
-    void setCut(bool cut) { m_cut = cut; }
+    // Cuts the first nodes off from the one that adds up.
+    void cutOff(std::size_t nodes) { m_cutOff = nodes; }
     [[nodiscard]] util::Time now() const { return m_now; }
     [[nodiscard]] std::size_t asked() const { return m_asked; }
     [[nodiscard]] const std::deque<util::Time>& admitted() const { return m_admitted; }
@@ -79,7 +80,7 @@
     // A node that is not sure asks the keeper first, as QuotaAdmission does.
     void decideAfterReport(std::size_t node, double limit)
     {
-        if (!m_cut) {
+        if (node >= m_cutOff) {
             for (const auto& use : m_quotas[node].takeReports(m_now, organisation))
                 exchange(node, use);
         }
@@ -93,7 +94,7 @@
     QuotaTotals m_totals { QuotaOptions {}.window };
     std::deque<util::Time> m_admitted;
     std::size_t m_asked = 0;
-    bool m_cut = false;
+    std::size_t m_cutOff = 0;
 };
 
 // Asks at `perSecond` for a time, at random nodes.
@@ -143,12 +144,64 @@
         CAPTURE(seed);
         QuotaFleet fleet(33, seed);
         load(fleet, 33, rate / 1.6, 10, limit);
-        fleet.setCut(true);
+        fleet.cutOff(33);
         load(fleet, 33, 7.5 * rate / 1.6, 15, limit);
         CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
     }
 }
 
+TEST_CASE("a limit that falls far below what is sent binds one window later")
+{
+    constexpr double lowered = limit / 5;
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(33, seed);
+        load(fleet, 33, rate, 10, limit);
+        const auto changed = fleet.now();
+        load(fleet, 33, rate, 20, lowered);
+        std::deque<util::Time> after;
+        for (const auto& time : fleet.admitted()) {
+            if (time >= changed + std::chrono::seconds(5))
+                after.push_back(time);
+        }
+        const double loweredBound = lowered * 1.25 + 20;
+        CHECK(static_cast<double>(mostInAnyWindow(after, std::chrono::seconds(5))) <= loweredBound);
+        CHECK(after.size() > 0);
+    }
+}
+
+TEST_CASE("while a third of the nodes is cut off, less than one in a hundred inside the rate is refused")
+{
+    std::size_t asked = 0;
+    std::size_t admitted = 0;
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(33, seed);
+        load(fleet, 33, rate / 1.6, 10, limit);
+        const auto askedBefore = fleet.asked();
+        const auto admittedBefore = fleet.admitted().size();
+        fleet.cutOff(11);
+        load(fleet, 33, rate / 1.6, 20, limit);
+        asked += fleet.asked() - askedBefore;
+        admitted += fleet.admitted().size() - admittedBefore;
+        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+    }
+    CAPTURE(asked, admitted);
+    CHECK(static_cast<double>(asked - admitted) < 0.01 * static_cast<double>(asked));
+}
+
+TEST_CASE("a flood while a third of the nodes is cut off stays within the bound")
+{
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(33, seed);
+        load(fleet, 33, rate / 1.6, 10, limit);
+        fleet.cutOff(11);
+        load(fleet, 33, 7.5 * rate / 1.6, 20, limit);
+        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+    }
+}
+
 TEST_CASE("a restart of every node under a flood stays within the bound")
 {
     for (unsigned seed = 1; seed <= 10; ++seed) {
