Leave room near a limit for nodes that are cut off, and remember what a node admitted before it started anew

Change: once half of a limit is used, the node that adds up asks those that it has not heard of for half a second; room is left for what silent ones may admit, beyond half of what the sum may exceed the limit by. A node that was asked right after its start answered with nothing and wiped out what it had admitted before (restart test: 272); that part is kept now and fades over the window.

Ruled out: heartbeats of all to all, some 23 datagrams a second and node.

--- a/tarragonhaven/control_core.h
+++ b/tarragonhaven/control_core.h
@@ -113,6 +113,7 @@
     // Messages of nodes that discover their targets; they are of no use here.
     void handle(const Endpoint&, const ControlEnvelope&, const QuotaReportMessage&) { }
     void handle(const Endpoint&, const ControlEnvelope&, const QuotaElsewhereMessage&) { }
+    void handle(const Endpoint&, const ControlEnvelope&, const QuotaAskMessage&) { }
 
     void take(std::monostate) { }
     void take(const RateAskRequest& request);
--- a/tarragonhaven/control_message.h
+++ b/tarragonhaven/control_message.h
@@ -182,9 +182,18 @@
     friend bool operator==(const QuotaElsewhereMessage&, const QuotaElsewhereMessage&) = default;
 };
 
+// Asks a node for its report on names, near a limit.
+struct QuotaAskMessage {
+    int kind = 0;
+    std::vector<std::string> names;
+    MSGPACK_DEFINE_ARRAY(kind, names);
+
+    friend bool operator==(const QuotaAskMessage&, const QuotaAskMessage&) = default;
+};
+
 using ControlMessage = std::variant<PingMessage, PongMessage, TokenAskMessage, TokenGrantMessage,
     TokenReturnMessage, IdentityBeginMessage, IdentityEndMessage, IdentityVerdictMessage, LeavingMessage,
-    TargetReportMessage, QuotaReportMessage, QuotaElsewhereMessage>;
+    TargetReportMessage, QuotaReportMessage, QuotaElsewhereMessage, QuotaAskMessage>;
 
 // A message with its sender.
 struct ControlEnvelope {
--- a/tarragonhaven/quota_admission.cc
+++ b/tarragonhaven/quota_admission.cc
@@ -181,16 +181,54 @@
         settleWaiting(organisation, true);
 }
 
+QuotaElsewhere QuotaAdmission::addUp(QuotaKind kind, const InstanceName& node, const QuotaUse& use)
+{
+    const auto now = util::BootClock::now();
+    auto& [quota, totals] = ledger(kind);
+    auto elsewhere = totals.note(node, use, now);
+    const auto* organisation = kind == QuotaKind::Requests && m_configuration
+        ? m_configuration->organisation({ use.name })
+        : nullptr;
+    if (!organisation || organisation->ratePerSecond <= 0)
+        return elsewhere;
+    const double limit = limitOf(*organisation);
+    if (!WindowQuota::nearLimit(use.admitted + elsewhere.admitted, limit))
+        return elsewhere;
+    for (const auto& silent : totals.toAsk(use.name, m_nodes, now)) {
+        const auto* instance = silent == m_parts.self ? nullptr : m_directory->instance(silent);
+        if (instance)
+            m_parts.socket.send(
+                instance->peerAddress, QuotaAskMessage { static_cast<int>(kind), { use.name } });
+        else
+            totals.note(silent, quota.use(use.name, now), now);
+    }
+    elsewhere.admitted
+        += static_cast<std::uint32_t>(quota.reserveFor(totals.silent(use.name, now), limit, m_nodes.size()));
+    return elsewhere;
+}
+
+void QuotaAdmission::receive(const Endpoint& source, const QuotaAskMessage& message)
+{
+    if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
+        return;
+    QuotaReportMessage report;
+    report.kind = message.kind;
+    for (const auto& name : message.names)
+        report.uses.push_back(
+            ledger(static_cast<QuotaKind>(message.kind)).quota.use(name, util::BootClock::now()));
+    m_parts.socket.send(source, std::move(report));
+}
+
 void QuotaAdmission::receive(
     const Endpoint& source, const InstanceName& from, const QuotaReportMessage& message)
 {
     if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
         return;
-    auto& totals = ledger(static_cast<QuotaKind>(message.kind)).totals;
+    const auto kind = static_cast<QuotaKind>(message.kind);
     QuotaElsewhereMessage answer;
     answer.kind = message.kind;
     for (const auto& use : message.uses)
-        answer.elsewhere.push_back(totals.note(from, use, util::BootClock::now()));
+        answer.elsewhere.push_back(addUp(kind, from, use));
     m_parts.socket.send(source, std::move(answer));
 }
 
@@ -231,13 +269,13 @@
 void QuotaAdmission::report(QuotaKind kind, const std::string& urgent)
 {
     const auto now = util::BootClock::now();
-    auto& [quota, totals] = ledger(kind);
+    auto& quota = ledger(kind).quota;
     std::map<InstanceName, QuotaReportMessage> reports;
     std::vector<std::string> kept;
     for (auto& use : quota.takeReports(now, urgent)) {
         const auto keeper = keeperOf(kind, use.name);
         if (keeper == m_parts.self) {
-            quota.noteElsewhere(totals.note(m_parts.self, use, now), now);
+            quota.noteElsewhere(addUp(kind, m_parts.self, use), now);
             kept.push_back(use.name);
         } else if (!keeper.text.empty()) {
             reports[keeper].uses.push_back(std::move(use));
--- a/tarragonhaven/quota_admission.h
+++ b/tarragonhaven/quota_admission.h
@@ -44,6 +44,7 @@
 
     void receive(const Endpoint& source, const InstanceName& from, const QuotaReportMessage& message);
     void receive(const InstanceName& from, const QuotaElsewhereMessage& message);
+    void receive(const Endpoint& source, const QuotaAskMessage& message);
     // Retries of a service that were asked for here, and what the bound left at the latest question.
     struct RetryCounts {
         std::uint64_t granted = 0;
@@ -72,6 +73,8 @@
         util::Time until {};
     };
 
+    // Takes in a node's use and returns that of all others, with what is left to nodes that are cut off.
+    QuotaElsewhere addUp(QuotaKind kind, const InstanceName& node, const QuotaUse& use);
     static Ledger makeLedger(const QuotaOptions& options);
     Ledger& ledger(QuotaKind kind) { return m_ledgers.at(static_cast<std::size_t>(kind)); }
     [[nodiscard]] double limitOf(const Organisation& organisation) const;
--- a/tarragonhaven/quota_totals.h
+++ b/tarragonhaven/quota_totals.h
@@ -6,12 +6,16 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace tarragonhaven {
 
 // Adds up what nodes report under names. The node that a hash finds for a name does this; it decides nothing,
 // and keeps nothing that the next reports would not bring again. The use that a node reported fades over a
 // window after its last report, as it does at the node itself.
+//
+// A node that is cut off goes on to admit unheard. So near a limit the nodes that were not heard of lately
+// are asked; those that do not answer count as silent, and room is left for them.
 class QuotaTotals {
 public:
     explicit QuotaTotals(util::Duration window)
@@ -21,6 +25,12 @@
 
     // Takes in a node's use and returns that of all others.
     QuotaElsewhere note(const InstanceName& node, const QuotaUse& use, util::Time now);
+    // The nodes that are to be asked now what they use under a name: those that have reported nothing for a
+    // while, each once in an interval. Nodes that are not among `nodes` are forgotten.
+    std::vector<InstanceName> toAsk(
+        const std::string& name, const std::vector<std::string>& nodes, util::Time now);
+    // How many nodes have left a question unanswered for so long that they are taken for cut off.
+    [[nodiscard]] std::size_t silent(const std::string& name, util::Time now) const;
     // Drops names that nobody has reported for a window.
     void forget(util::Time now);
 
@@ -30,10 +40,23 @@
     struct Reported {
         QuotaUse use;
         util::Time at {};
+        // What the node had admitted before it started anew, and when it was heard of so.
+        double before = 0;
+        util::Time beforeAt {};
+    };
+
+    // What is left of a count that was true at some time, as the window moves on.
+    [[nodiscard]] double faded(double count, util::Time at, util::Time now) const;
+
+    // Questions without an answer: the first, and the latest.
+    struct Asked {
+        util::Time since {};
+        util::Time last {};
     };
 
     util::Duration m_window;
     std::map<std::string, std::map<InstanceName, Reported>> m_names;
+    std::map<std::string, std::map<InstanceName, Asked>> m_asked;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -158,6 +158,8 @@
         m_admission.receive(source, envelope.from, *report);
     if (const auto* elsewhere = std::get_if<QuotaElsewhereMessage>(&envelope.message))
         m_admission.receive(envelope.from, *elsewhere);
+    if (const auto* ask = std::get_if<QuotaAskMessage>(&envelope.message))
+        m_admission.receive(source, *ask);
     if (const auto* told = std::get_if<TargetReportMessage>(&envelope.message))
         m_entry.noteReport({ told->target }, told->report);
 }
--- a/tarragonhaven/testing/window_quota_test.cc
+++ b/tarragonhaven/testing/window_quota_test.cc
@@ -36,12 +36,15 @@
     QuotaFleet(int nodes, unsigned seed)
         : m_random(seed)
     {
-        for (int i = 0; i < nodes; ++i)
+        for (int i = 0; i < nodes; ++i) {
             m_quotas.emplace_back(QuotaOptions {}, start - std::chrono::seconds(10));
+            m_names.push_back(std::to_string(i));
+        }
     }
 
     void ask(std::size_t node, double limit)
     {
+        m_limit = limit;
         auto& quota = m_quotas[node];
         quota.noteAsked(organisation, m_now);
         ++m_asked;
@@ -72,9 +75,20 @@
     std::mt19937& random() { return m_random; }
 
 private:
+    // The node that adds up asks near the limit, as QuotaAdmission does.
     void exchange(std::size_t node, const QuotaUse& use)
     {
-        m_quotas[node].noteElsewhere(m_totals.note({ std::to_string(node) }, use, m_now), m_now);
+        auto elsewhere = m_totals.note({ std::to_string(node) }, use, m_now);
+        if (WindowQuota::nearLimit(use.admitted + elsewhere.admitted, m_limit)) {
+            for (const auto& asked : m_totals.toAsk(organisation, m_names, m_now)) {
+                const auto index = std::stoul(asked.text);
+                if (index >= m_cutOff)
+                    m_totals.note(asked, m_quotas[index].use(organisation, m_now), m_now);
+            }
+            elsewhere.admitted += static_cast<std::uint32_t>(
+                m_quotas[node].reserveFor(m_totals.silent(organisation, m_now), m_limit, m_quotas.size()));
+        }
+        m_quotas[node].noteElsewhere(elsewhere, m_now);
     }
 
     // A node that is not sure asks the keeper first, as QuotaAdmission does.
@@ -94,6 +108,8 @@
     QuotaTotals m_totals { QuotaOptions {}.window };
     std::deque<util::Time> m_admitted;
     std::size_t m_asked = 0;
+    std::vector<std::string> m_names;
+    double m_limit = 0;
     std::size_t m_cutOff = 0;
 };
 
--- a/tarragonhaven/window_quota.cc
+++ b/tarragonhaven/window_quota.cc
@@ -16,6 +16,12 @@
     constexpr double youngShareKept = 0.35;
     // Part of the bound that is divided evenly among nodes that do not hear of each other.
     constexpr double evenShare = 0.85;
+    // From this share of the limit on, nodes that are not heard of are asked. At five times the limit the
+    // rest lasts for as long as an answer is waited for.
+    constexpr double askShare = 0.5;
+    // The part of what the sum may exceed the limit by that is not kept free of what silent nodes admit; the
+    // rest is for estimates that are late.
+    constexpr double unreservedShare = 0.5;
     // Part of the slack that nodes may use near the limit, where each rounds its part up.
     constexpr double slackUsed = 0.3;
 
@@ -101,11 +107,33 @@
     return judgeAlone(use, limit, nodes, now);
 }
 
-QuotaDecision WindowQuota::judgeAlone(Use& use, double limit, std::size_t nodes, util::Time now) const
+double WindowQuota::evenPart(double limit, std::size_t nodes) const
 {
     const double bound = limit * (1 + m_options.overshoot) + m_options.slack;
+    return evenShare * bound / static_cast<double>(std::max<std::size_t>(1, nodes));
+}
+
+QuotaUse WindowQuota::use(const std::string& name, util::Time now)
+{
+    const bool young = now - m_started < m_options.window;
+    const auto found = m_uses.find(name);
+    if (found == m_uses.end())
+        return { name, 0, 0, young };
+    return { name, found->second.admitted.sum(now), found->second.asked.sum(now), young };
+}
+
+bool WindowQuota::nearLimit(double admitted, double limit) { return admitted >= askShare * limit; }
+
+double WindowQuota::reserveFor(std::size_t silent, double limit, std::size_t nodes) const
+{
+    const double margin = limit * m_options.overshoot + m_options.slack;
+    return std::max(0.0, static_cast<double>(silent) * evenPart(limit, nodes) - unreservedShare * margin);
+}
+
+QuotaDecision WindowQuota::judgeAlone(Use& use, double limit, std::size_t nodes, util::Time now) const
+{
     const double kept = now - m_started < m_options.window ? youngShareKept : 1;
-    const double even = kept * evenShare * bound / static_cast<double>(std::max<std::size_t>(1, nodes));
+    const double even = kept * evenPart(limit, nodes);
     const auto own = use.admitted.sum(now);
     const bool within = own + 1 <= std::max(1.0, even);
     return { within, within ? QuotaReason::WithinEvenPart : QuotaReason::BeyondEvenPart, own, 0, limit,
--- a/tarragonhaven/window_quota.h
+++ b/tarragonhaven/window_quota.h
@@ -86,6 +86,13 @@
         const std::string& name, double limit, std::size_t nodes, util::Time now, bool final);
     // What was asked for in the window at all nodes, as far as this one knows.
     double askedEverywhere(const std::string& name, util::Time now);
+    // What this node has under a name now.
+    [[nodiscard]] QuotaUse use(const std::string& name, util::Time now);
+    // Whether so much is admitted under a limit that nodes which are not heard of matter.
+    [[nodiscard]] static bool nearLimit(double admitted, double limit);
+    // The part of a limit that is left to nodes that are cut off from the others: what they may admit
+    // unheard, beyond what the sum may exceed the limit by.
+    [[nodiscard]] double reserveFor(std::size_t silent, double limit, std::size_t nodes) const;
     void noteElsewhere(const QuotaElsewhere& elsewhere, util::Time now);
     // The reports that are due, and that of `urgent`.
     std::vector<QuotaUse> takeReports(util::Time now, const std::string& urgent = {});
@@ -114,6 +121,8 @@
     [[nodiscard]] bool known(const Use& use, util::Time now) const;
     [[nodiscard]] QuotaDecision judge(
         Use& use, double limit, std::size_t nodes, util::Time now, bool final) const;
+    // What a node may admit in a window that hears of no other.
+    [[nodiscard]] double evenPart(double limit, std::size_t nodes) const;
     [[nodiscard]] QuotaDecision judgeAlone(Use& use, double limit, std::size_t nodes, util::Time now) const;
 
     QuotaOptions m_options;
