--- a/tarragonhaven/request_story.cc
+++ b/tarragonhaven/request_story.cc
@@ -132,6 +132,18 @@
         return cause;
     }
 
+    // When the node that refused had started, if it is known.
+    std::string startBefore(const RequestStory& story, const LogRecord& refusal)
+    {
+        const LogRecord* start = nullptr;
+        for (const auto& record : story.around) {
+            const bool starts = record.kind == "node" && record.text("event") == "started";
+            if (starts && record.instance == refusal.instance && record.time <= refusal.time)
+                start = &record;
+        }
+        return start ? absl::StrCat("; it had started at ", clockTime(start->time)) : std::string();
+    }
+
     std::string causeOfRefusal(const RequestStory& story, const LogRecord& refusal)
     {
         const auto reason = refusal.text("reason");
@@ -141,7 +153,8 @@
             return absl::StrCat(
                 "the organisation ", refusal.text("organisation"), " is at its limit: ", detail);
         if (reason == "not-ready")
-            return "the node had no declarations or no directory yet";
+            return absl::StrCat(
+                "the node had no declarations or no directory yet", startBefore(story, refusal));
         if (!failed)
             return detail.empty()
                 ? absl::StrCat("refused before any target was tried: ", reason)
@@ -259,7 +272,8 @@
         // The latest line of each kind that says what was in force at an instance, however old it is.
         std::map<std::pair<std::string, std::string>, LogRecord> inForce;
         for (const auto& belief : beliefs) {
-            const auto target = belief.text("target");
+            // Of a node's own lines the target is the address beside it.
+            const auto target = belief.kind == "node" ? std::string() : belief.text("target");
             const bool concerned
                 = target.empty() ? instances.contains(belief.instance) : targets.contains(target);
             if (!concerned)
