Take in counts at a node that has no declarations yet

Ruled out: the change of watches, and the restart of the nodes itself (others that had declarations went on).

--- a/tarragonhaven/quota_admission.cc
+++ b/tarragonhaven/quota_admission.cc
@@ -156,6 +156,9 @@
 // Decides again on the requests of an organisation whose use elsewhere has become known, or will not in time.
 void QuotaAdmission::settleWaiting(const std::string& organisation, bool final)
 {
+    // Answers to counts may come to a node that has no declarations yet; then nothing waits.
+    if (m_waiting.empty())
+        return;
     const auto first = std::stable_partition(m_waiting.begin(), m_waiting.end(),
         [&](const Waiting& waiting) { return waiting.organisation.text != organisation; });
     const std::vector<Waiting> settled(
