--- a/tarragonhaven/testing/window_quota_test.cc
+++ b/tarragonhaven/testing/window_quota_test.cc
@@ -67,6 +67,8 @@
     }
 
     void restart(std::size_t node) { m_quotas[node] = WindowQuota(QuotaOptions {}, m_now); }
+    // The node that adds up starts anew as well.
+    void forgetTotals() { m_totals = QuotaTotals(QuotaOptions {}.window); }
     // Cuts the first nodes off from the one that adds up.
     void cutOff(std::size_t nodes) { m_cutOff = nodes; }
     [[nodiscard]] util::Time now() const { return m_now; }
@@ -233,6 +235,24 @@
     }
 }
 
+TEST_CASE("most nodes killed at once under a flood stay within the bound of a small limit")
+{
+    constexpr double small = 72;
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        QuotaFleet fleet(35, seed);
+        load(fleet, 35, 60, 12, small);
+        for (int i = 0; i < 100; ++i)
+            fleet.advance();
+        for (std::size_t node = 0; node < 24; ++node)
+            fleet.restart(node);
+        fleet.forgetTotals();
+        load(fleet, 35, 60, 10, small);
+        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5)))
+            <= small * 1.25 + 20);
+    }
+}
+
 TEST_CASE("a sliding count is that of the window and at most one step more")
 {
     for (unsigned seed = 1; seed <= 50; ++seed) {
