Make each status answer once, check kinds and make reports in one place, and drop copies

No behaviour changes. Both traffic threads answered an operator's question with state and metrics, of which one was thrown away, each with the same lines; StatusDesk now makes the one that was asked for. The kind of a message on counts was checked in three copies, a report on a name was made in two. A line on an attempt is not put together when its level is off. RequestStory sorted in three places and looked up lines in two ways. Window tests name what they measure; their checks are the same.

--- a/tarragonhaven/operator_duty.cc
+++ b/tarragonhaven/operator_duty.cc
@@ -19,7 +19,7 @@
     // One operator's connection: one request, one answer.
     class OperatorSession : public std::enable_shared_from_this<OperatorSession> {
     public:
-        using Ask = std::function<void(std::function<void(const StatusReply&)>)>;
+        using Ask = std::function<void(bool metrics, std::function<void(const StatusReply&)>)>;
 
         OperatorSession(tcp::socket socket, const NodeState& state, Ask ask)
             : m_stream(std::move(socket))
@@ -58,10 +58,9 @@
 
         void answerState(bool metrics)
         {
-            m_ask([self = shared_from_this(), metrics](const StatusReply& reply) {
-                if (metrics)
-                    return self->answer(http::status::ok, "text/plain; version=0.0.4", reply.metrics);
-                self->answer(http::status::ok, "application/json", reply.json);
+            const auto* type = metrics ? "text/plain; version=0.0.4" : "application/json";
+            m_ask(metrics, [self = shared_from_this(), type](const StatusReply& reply) {
+                self->answer(http::status::ok, type, reply.body);
             });
         }
 
@@ -134,16 +133,16 @@
 
 void OperatorDuty::accept(tcp::socket socket)
 {
-    std::make_shared<OperatorSession>(std::move(socket), m_state, [this](ReplyHandler handler) {
-        askStatus(std::move(handler));
+    std::make_shared<OperatorSession>(std::move(socket), m_state, [this](bool metrics, ReplyHandler handler) {
+        askStatus(metrics, std::move(handler));
     })->start();
 }
 
-void OperatorDuty::askStatus(ReplyHandler handler)
+void OperatorDuty::askStatus(bool metrics, ReplyHandler handler)
 {
     const auto number = ++m_lastNumber;
     m_waiting.emplace(number, std::move(handler));
-    if (!m_requests.push({ number }))
+    if (!m_requests.push({ number, metrics }))
         m_waiting.erase(number);
 }
 
--- a/tarragonhaven/operator_duty.h
+++ b/tarragonhaven/operator_duty.h
@@ -41,7 +41,7 @@
     using ReplyHandler = std::function<void(const StatusReply&)>;
 
     void accept(boost::asio::ip::tcp::socket socket);
-    void askStatus(ReplyHandler handler);
+    void askStatus(bool metrics, ReplyHandler handler);
 
     const NodeState& m_state;
     util::BoundedRing<StatusRequest>& m_requests;
--- a/tarragonhaven/quota_admission.cc
+++ b/tarragonhaven/quota_admission.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <iterator>
 #include <limits>
+#include <optional>
 #include <set>
 
 namespace tarragonhaven {
@@ -45,6 +46,14 @@
         return options;
     }
 
+    // The kind that a message names, or nothing for one that is not known here.
+    std::optional<QuotaKind> kindOf(int kind)
+    {
+        const bool known
+            = kind == static_cast<int>(QuotaKind::Requests) || kind == static_cast<int>(QuotaKind::Retries);
+        return known ? std::optional(static_cast<QuotaKind>(kind)) : std::nullopt;
+    }
+
 } // namespace
 
 QuotaAdmission::Ledger QuotaAdmission::makeLedger(const QuotaOptions& options)
@@ -212,41 +221,41 @@
 
 void QuotaAdmission::receive(const Endpoint& source, const QuotaAskMessage& message)
 {
-    if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
+    const auto kind = kindOf(message.kind);
+    if (!kind)
         return;
     QuotaReportMessage report;
     report.kind = message.kind;
     for (const auto& name : message.names)
-        report.uses.push_back(
-            ledger(static_cast<QuotaKind>(message.kind)).quota.use(name, util::BootClock::now()));
+        report.uses.push_back(ledger(*kind).quota.use(name, util::BootClock::now()));
     m_parts.socket.send(source, std::move(report));
 }
 
 void QuotaAdmission::receive(
     const Endpoint& source, const InstanceName& from, const QuotaReportMessage& message)
 {
-    if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
+    const auto kind = kindOf(message.kind);
+    if (!kind)
         return;
-    const auto kind = static_cast<QuotaKind>(message.kind);
     QuotaElsewhereMessage answer;
     answer.kind = message.kind;
     for (const auto& use : message.uses)
-        answer.elsewhere.push_back(addUp(kind, from, use));
+        answer.elsewhere.push_back(addUp(*kind, from, use));
     m_parts.socket.send(source, std::move(answer));
 }
 
 void QuotaAdmission::receive(const InstanceName& from, const QuotaElsewhereMessage& message)
 {
-    if (message.kind < 0 || static_cast<std::size_t>(message.kind) >= m_ledgers.size())
+    const auto kind = kindOf(message.kind);
+    if (!kind)
         return;
     m_unanswered.erase(from);
     if (m_lost.erase(from) > 0)
         m_parts.log.write(LogLevel::Info, "dependency",
             { { "name", "quota-keeper" }, { "event", "reached" }, { "keeper", from.text } });
-    const auto kind = static_cast<QuotaKind>(message.kind);
     for (const auto& elsewhere : message.elsewhere)
-        ledger(kind).quota.noteElsewhere(elsewhere, util::BootClock::now());
-    if (kind != QuotaKind::Requests)
+        ledger(*kind).quota.noteElsewhere(elsewhere, util::BootClock::now());
+    if (*kind != QuotaKind::Requests)
         return;
     for (const auto& elsewhere : message.elsewhere)
         settleWaiting(elsewhere.name, true);
--- a/tarragonhaven/request_story.cc
+++ b/tarragonhaven/request_story.cc
@@ -42,6 +42,12 @@
         return absl::StrJoin(parts, " ");
     }
 
+    void sortByTime(std::vector<LogRecord>& records)
+    {
+        std::stable_sort(records.begin(), records.end(),
+            [](const LogRecord& a, const LogRecord& b) { return a.time < b.time; });
+    }
+
     const LogRecord* lastOf(const std::vector<LogRecord>& records, std::string_view kind)
     {
         const auto found = std::find_if(records.rbegin(), records.rend(),
@@ -49,13 +55,6 @@
         return found == records.rend() ? nullptr : &*found;
     }
 
-    const LogRecord* firstOf(const std::vector<LogRecord>& records, std::string_view kind)
-    {
-        const auto found = std::find_if(
-            records.begin(), records.end(), [kind](const LogRecord& record) { return record.kind == kind; });
-        return found == records.end() ? nullptr : &*found;
-    }
-
     bool isEnd(const std::string& kind)
     {
         return kind == "answer" || kind == "refusal" || kind == "caller-gone";
@@ -227,7 +226,7 @@
             story.missing.push_back("every line about the request");
             return;
         }
-        if (!firstOf(story.steps, "route") && !firstOf(story.steps, "refusal"))
+        if (!lastOf(story.steps, "route") && !lastOf(story.steps, "refusal"))
             story.missing.push_back("the lines of its entry");
         std::set<std::string> tried;
         std::set<std::string> guarded;
@@ -289,8 +288,7 @@
         }
         for (auto& [key, record] : inForce)
             result.push_back(std::move(record));
-        std::stable_sort(result.begin(), result.end(),
-            [](const LogRecord& a, const LogRecord& b) { return a.time < b.time; });
+        sortByTime(result);
         return result;
     }
 
@@ -333,11 +331,9 @@
     RequestStory story;
     story.request = m_request;
     story.steps = m_steps;
-    std::stable_sort(story.steps.begin(), story.steps.end(),
-        [](const LogRecord& a, const LogRecord& b) { return a.time < b.time; });
+    sortByTime(story.steps);
     story.calls = m_calls;
-    std::stable_sort(story.calls.begin(), story.calls.end(),
-        [](const LogRecord& a, const LogRecord& b) { return a.time < b.time; });
+    sortByTime(story.calls);
     story.around = around(m_beliefs, story.steps);
     explainEnd(story);
     noteMissing(story);
@@ -373,14 +369,12 @@
 {
     nlohmann::ordered_json json { { "request", story.request }, { "outcome", story.outcome },
         { "cause", story.cause } };
-    for (const auto* list : { "steps", "calls", "around" })
-        json[list] = nlohmann::ordered_json::array();
-    for (const auto& step : story.steps)
-        json["steps"].push_back(nlohmann::ordered_json(step.fields));
-    for (const auto& call : story.calls)
-        json["calls"].push_back(nlohmann::ordered_json(call.fields));
-    for (const auto& belief : story.around)
-        json["around"].push_back(nlohmann::ordered_json(belief.fields));
+    for (const auto& [name, records] : { std::pair("steps", &story.steps), std::pair("calls", &story.calls),
+             std::pair("around", &story.around) }) {
+        json[name] = nlohmann::ordered_json::array();
+        for (const auto& record : *records)
+            json[name].push_back(nlohmann::ordered_json(record.fields));
+    }
     json["missing"] = story.missing;
     return json;
 }
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -70,9 +70,7 @@
           entryOptions(m_parts.settings, m_parts.dialect), &m_admission })
     , m_callers(m_thread.io(), m_entry, maximumConnections)
     , m_peerSessions(m_thread.io(), *this, m_parts.hello)
-    , m_status(m_thread.io(), [this](const StatusRequest& request) {
-        return StatusReply { request.number, trafficStatusJson(sources()), trafficMetricsText(sources()) };
-    })
+    , m_status(m_thread.io(), [this] { return sources(); })
 {
     m_parts.events.onPush([this] {
         boost::asio::post(m_thread.io(), [this] {
@@ -189,6 +187,9 @@
 
 void SidecarTraffic::logAttempt(const AttemptRecord& attempt)
 {
+    const auto level = attempt.status > 0 ? LogLevel::Info : LogLevel::Warning;
+    if (!m_parts.log.enabled(level))
+        return;
     const auto milliseconds = [](util::Duration time) {
         return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
     };
@@ -208,7 +209,7 @@
     } else {
         fields["reason"] = "given-up";
     }
-    m_parts.log.write(attempt.status > 0 ? LogLevel::Info : LogLevel::Warning, "attempt", std::move(fields));
+    m_parts.log.write(level, "attempt", std::move(fields));
 }
 
 void SidecarTraffic::everyTick()
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -10,7 +10,6 @@
 #include "tarragonhaven/quota_admission.h"
 #include "tarragonhaven/sidecar_settings.h"
 #include "tarragonhaven/status_desk.h"
-#include "tarragonhaven/traffic_status.h"
 #include "tarragonhaven/traffic_thread.h"
 #include "util/bounded_ring.h"
 
--- a/tarragonhaven/status_desk.cc
+++ b/tarragonhaven/status_desk.cc
@@ -12,8 +12,8 @@
 
 } // namespace
 
-StatusDesk::StatusDesk(boost::asio::io_context& io, Answer answer)
-    : m_answer(std::move(answer))
+StatusDesk::StatusDesk(boost::asio::io_context& io, std::function<TrafficSources()> sources)
+    : m_sources(std::move(sources))
     , m_requests(ringItems)
     , m_replies(ringItems)
 {
@@ -22,7 +22,11 @@
 
 void StatusDesk::answerAll()
 {
-    m_requests.drain([this](const StatusRequest& request) { m_replies.push(m_answer(request)); });
+    m_requests.drain([this](const StatusRequest& request) {
+        const auto sources = m_sources();
+        m_replies.push(
+            { request.number, request.metrics ? trafficMetricsText(sources) : trafficStatusJson(sources) });
+    });
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/status_desk.h
+++ b/tarragonhaven/status_desk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/status_request.h"
+#include "tarragonhaven/traffic_status.h"
 #include "util/bounded_ring.h"
 
 #include <boost/asio/io_context.hpp>
@@ -11,10 +12,8 @@
 // Answers the operator thread's questions on the traffic thread, over two rings.
 class StatusDesk {
 public:
-    using Answer = std::function<StatusReply(const StatusRequest&)>;
-
-    // `answer` runs on the thread of `io`.
-    StatusDesk(boost::asio::io_context& io, Answer answer);
+    // `sources` is called on the thread of `io`.
+    StatusDesk(boost::asio::io_context& io, std::function<TrafficSources()> sources);
     StatusDesk(const StatusDesk&) = delete;
     StatusDesk& operator=(const StatusDesk&) = delete;
 
@@ -24,7 +23,7 @@
 private:
     void answerAll();
 
-    Answer m_answer;
+    std::function<TrafficSources()> m_sources;
     util::BoundedRing<StatusRequest> m_requests;
     util::BoundedRing<StatusReply> m_replies;
 };
--- a/tarragonhaven/testing/http_caller.cc
+++ b/tarragonhaven/testing/http_caller.cc
@@ -65,9 +65,12 @@
         request.method_string(wanted.method);
         request.target(wanted.target);
         request.set(http::field::host, toString(server));
-        for (const auto& field : wanted.fields)
-            sameFieldName(field.name, "Host") ? request.set(http::field::host, field.value)
-                                              : request.insert(field.name, field.value);
+        for (const auto& field : wanted.fields) {
+            if (sameFieldName(field.name, "Host"))
+                request.set(http::field::host, field.value);
+            else
+                request.insert(field.name, field.value);
+        }
         request.body() = wanted.body;
         request.prepare_payload();
         error_code error;
--- a/tarragonhaven/testing/window_quota_test.cc
+++ b/tarragonhaven/testing/window_quota_test.cc
@@ -30,6 +30,11 @@
     return most;
 }
 
+double mostInFiveSeconds(const std::deque<util::Time>& admitted)
+{
+    return static_cast<double>(mostInAnyWindow(admitted, std::chrono::seconds(5)));
+}
+
 // Nodes that report to one of them, which may be silent or forget; a report takes a while.
 class QuotaFleet {
 public:
@@ -151,7 +156,7 @@
         QuotaFleet fleet(33, seed);
         load(fleet, 33, rate / 1.6, 10, limit);
         load(fleet, 33, 7.5 * rate / 1.6, 15, limit);
-        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+        CHECK(mostInFiveSeconds(fleet.admitted()) <= bound);
         CHECK(static_cast<double>(fleet.admitted().size()) >= rate * 15);
     }
 }
@@ -164,7 +169,7 @@
         load(fleet, 33, rate / 1.6, 10, limit);
         fleet.cutOff(33);
         load(fleet, 33, 7.5 * rate / 1.6, 15, limit);
-        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+        CHECK(mostInFiveSeconds(fleet.admitted()) <= bound);
     }
 }
 
@@ -183,7 +188,7 @@
                 after.push_back(time);
         }
         const double loweredBound = lowered * 1.25 + 20;
-        CHECK(static_cast<double>(mostInAnyWindow(after, std::chrono::seconds(5))) <= loweredBound);
+        CHECK(mostInFiveSeconds(after) <= loweredBound);
         CHECK(after.size() > 0);
     }
 }
@@ -202,7 +207,7 @@
         load(fleet, 33, rate / 1.6, 20, limit);
         asked += fleet.asked() - askedBefore;
         admitted += fleet.admitted().size() - admittedBefore;
-        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+        CHECK(mostInFiveSeconds(fleet.admitted()) <= bound);
     }
     CAPTURE(asked, admitted);
     CHECK(static_cast<double>(asked - admitted) < 0.01 * static_cast<double>(asked));
@@ -216,7 +221,7 @@
         load(fleet, 33, rate / 1.6, 10, limit);
         fleet.cutOff(11);
         load(fleet, 33, 7.5 * rate / 1.6, 20, limit);
-        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+        CHECK(mostInFiveSeconds(fleet.admitted()) <= bound);
     }
 }
 
@@ -231,7 +236,7 @@
         for (std::size_t node = 0; node < 33; ++node)
             fleet.restart(node);
         load(fleet, 33, 7.5 * rate / 1.6, 10, limit);
-        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5))) <= bound);
+        CHECK(mostInFiveSeconds(fleet.admitted()) <= bound);
     }
 }
 
@@ -248,8 +253,7 @@
             fleet.restart(node);
         fleet.forgetTotals();
         load(fleet, 35, 60, 10, small);
-        CHECK(static_cast<double>(mostInAnyWindow(fleet.admitted(), std::chrono::seconds(5)))
-            <= small * 1.25 + 20);
+        CHECK(mostInFiveSeconds(fleet.admitted()) <= small * 1.25 + 20);
     }
 }
 
--- a/tarragonhaven/traffic_duty.cc
+++ b/tarragonhaven/traffic_duty.cc
@@ -28,9 +28,7 @@
           m_parts.settings.dataCentre, m_parts.hello.incarnation, EntryOptions {} })
     , m_callers(m_thread.io(), m_entry, m_parts.settings.maximumConnections)
     , m_peerSessions(m_thread.io(), *this, m_parts.hello)
-    , m_status(m_thread.io(), [this](const StatusRequest& request) {
-        return StatusReply { request.number, trafficStatusJson(sources()), trafficMetricsText(sources()) };
-    })
+    , m_status(m_thread.io(), [this] { return sources(); })
 {
     m_parts.configurationEvents.onPush([this] {
         boost::asio::post(m_thread.io(), [this] {
--- a/tarragonhaven/traffic_duty.h
+++ b/tarragonhaven/traffic_duty.h
@@ -10,7 +10,6 @@
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/peer_set.h"
 #include "tarragonhaven/status_desk.h"
-#include "tarragonhaven/traffic_status.h"
 #include "tarragonhaven/traffic_thread.h"
 #include "util/bounded_ring.h"
 
--- a/tarragonhaven/window_quota.cc
+++ b/tarragonhaven/window_quota.cc
@@ -113,13 +113,15 @@
     return evenShare * bound / static_cast<double>(std::max<std::size_t>(1, nodes));
 }
 
+QuotaUse WindowQuota::report(const std::string& name, Use& use, util::Time now) const
+{
+    return { name, use.admitted.sum(now), use.asked.sum(now), young(now) };
+}
+
 QuotaUse WindowQuota::use(const std::string& name, util::Time now)
 {
-    const bool young = now - m_started < m_options.window;
     const auto found = m_uses.find(name);
-    if (found == m_uses.end())
-        return { name, 0, 0, young };
-    return { name, found->second.admitted.sum(now), found->second.asked.sum(now), young };
+    return found == m_uses.end() ? QuotaUse { name, 0, 0, young(now) } : report(name, found->second, now);
 }
 
 bool WindowQuota::nearLimit(double admitted, double limit) { return admitted >= askShare * limit; }
@@ -132,7 +134,7 @@
 
 QuotaDecision WindowQuota::judgeAlone(Use& use, double limit, std::size_t nodes, util::Time now) const
 {
-    const double kept = now - m_started < m_options.window ? youngShareKept : 1;
+    const double kept = young(now) ? youngShareKept : 1;
     const double even = kept * evenPart(limit, nodes);
     const auto own = use.admitted.sum(now);
     const bool within = own + 1 <= std::max(1.0, even);
@@ -162,13 +164,12 @@
 std::vector<QuotaUse> WindowQuota::takeReports(util::Time now, const std::string& urgent)
 {
     std::vector<QuotaUse> reports;
-    const bool young = now - m_started < m_options.window;
     for (auto& [name, use] : m_uses) {
         if (!due(use, now) && (urgent.empty() || name != urgent))
             continue;
         use.asksUnreported = 0;
         use.lastReport = now;
-        reports.push_back({ name, use.admitted.sum(now), use.asked.sum(now), young });
+        reports.push_back(report(name, use, now));
     }
     return reports;
 }
--- a/tarragonhaven/window_quota.h
+++ b/tarragonhaven/window_quota.h
@@ -117,6 +117,9 @@
     };
 
     Use& useOf(const std::string& name);
+    // Whether the node has run for less than the window.
+    [[nodiscard]] bool young(util::Time now) const { return now - m_started < m_options.window; }
+    [[nodiscard]] QuotaUse report(const std::string& name, Use& use, util::Time now) const;
     [[nodiscard]] bool due(const Use& use, util::Time now) const;
     [[nodiscard]] bool known(const Use& use, util::Time now) const;
     [[nodiscard]] QuotaDecision judge(
