Log what a target announces about itself, and what its guard knew

An attempt line now has the limit and the leaving notice that the target's response contained (namedLimit, targetLeaving), and the limit that the guard knew when the request arrived (knownLimit). Metrics: guarded_request_limit, guarded_leaving. The fields are decoded at the guard, from names that the platform's adapter sets; a response of another target (421) or of another request is not taken as an announcement. No decision uses them yet.

--- a/tarragonhaven/attempt_record.h
+++ b/tarragonhaven/attempt_record.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/refusal.h"
+#include "tarragonhaven/target_notice.h"
 #include "util/time.h"
 
 #include <optional>
@@ -33,6 +34,10 @@
     // cancelled the request.
     int status = 0;
     std::optional<Refusal> refusal;
+    // What the target announced in its response, and the limit in requests per second that the guard knew
+    // when the request arrived.
+    TargetNotice notice;
+    std::optional<double> knownLimit;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -71,6 +71,7 @@
     m_record = { m_context.requestId, m_target->target().name, m_context.entry, m_context.idempotent,
         m_context.rank == internalRequestRank, m_target->target().slots, m_target->slotsInUse(),
         m_target->waiting() };
+    m_record.knownLimit = m_target->requestLimit();
     m_ticket = m_target->acquireSlot(
         m_context, [self = shared_from_this(), handler = std::move(handler)](Outcome<void> slotResult) {
             if (self->m_cancelled)
@@ -147,11 +148,16 @@
         });
 }
 
-Outcome<ResponseHead> GuardExchange::checkedHead(Outcome<ResponseHead> head) const
+Outcome<ResponseHead> GuardExchange::checkedHead(Outcome<ResponseHead> head)
 {
     if (!head)
         return head;
-    const auto check = checkResponse(*head, m_context.requestId, m_target->options().headerNames);
+    const auto& headerNames = m_target->options().headerNames;
+    const auto check = checkResponse(*head, m_context.requestId, headerNames);
+    if (check.fromTarget) {
+        m_record.notice = parseTargetNotice(*head, headerNames);
+        m_target->recordNotice(m_record.notice);
+    }
     switch (check.verdict) {
     case ResponseVerdict::Valid:
         return head;
--- a/tarragonhaven/guard_exchange.h
+++ b/tarragonhaven/guard_exchange.h
@@ -35,8 +35,9 @@
     void release(bool keepConnection);
     // Returns the request head with the header fields that are added for the target.
     [[nodiscard]] RequestHead headForTarget() const;
-    // Returns the response head if it is valid, otherwise a refusal.
-    [[nodiscard]] Outcome<ResponseHead> checkedHead(Outcome<ResponseHead> head) const;
+    // Returns the response head if it is valid, otherwise a refusal. Records what the target announces about
+    // itself.
+    [[nodiscard]] Outcome<ResponseHead> checkedHead(Outcome<ResponseHead> head);
     void onHead(const Outcome<ResponseHead>& head);
     void onSlotResult(const Outcome<void>& slotResult);
     // Passes the record of the attempt to the `onAttempt` option; only the first call has an effect.
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -286,6 +286,13 @@
     m_pushTrigger.recordLatency(logLatency);
 }
 
+void GuardedTarget::recordNotice(const TargetNotice& notice)
+{
+    if (!notice.malformedLimit)
+        m_requestLimit = notice.requestsPerSecond;
+    m_announcedLeaving = m_announcedLeaving || notice.leaving;
+}
+
 void GuardedTarget::recordConnectFailure()
 {
     recordBreakerResult(TargetResult::HardFailure, false);
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -8,6 +8,7 @@
 #include "tarragonhaven/target.h"
 #include "tarragonhaven/target_breaker.h"
 #include "tarragonhaven/target_connection.h"
+#include "tarragonhaven/target_notice.h"
 #include "tarragonhaven/target_report.h"
 
 #include <boost/asio/io_context.hpp>
@@ -55,6 +56,8 @@
     // result, once. `timeToFirstByte` is used for a success only.
     void recordSent(std::uint64_t ticket);
     void recordResult(std::uint64_t ticket, TargetResult result, util::Duration timeToFirstByte = {});
+    // Records what the target announced about itself in a response.
+    void recordNotice(const TargetNotice& notice);
     // Records that no connection could be made for a request with a slot.
     void recordConnectFailure();
 
@@ -65,6 +68,10 @@
     [[nodiscard]] int waiting() const { return static_cast<int>(m_queue.waiting()); }
     [[nodiscard]] const Target& target() const { return m_target; }
     [[nodiscard]] const GuardOptions& options() const { return m_options; }
+    // Returns the limit that the target named last, in requests per second, if any.
+    [[nodiscard]] std::optional<double> requestLimit() const { return m_requestLimit; }
+    // Returns whether the target has announced that it is about to stop.
+    [[nodiscard]] bool announcedLeaving() const { return m_announcedLeaving; }
     // Returns the breaker's state if it differs from the state at the last call.
     std::optional<TargetBreaker::State> takeBreakerChange();
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
@@ -99,6 +106,8 @@
     SlotQueue m_queue;
     std::map<std::uint64_t, WaitingRequest> m_waiting;
     std::map<std::uint64_t, util::Time> m_grantedAt;
+    std::optional<double> m_requestLimit;
+    bool m_announcedLeaving = false;
     // Moving average of the time for which requests hold a slot; zero until the first request has ended.
     util::Duration m_averageHoldTime {};
     std::optional<TargetBreaker> m_breaker;
--- a/tarragonhaven/header_names.h
+++ b/tarragonhaven/header_names.h
@@ -24,6 +24,10 @@
     std::string notRun;
     // In a response: proves that the target itself wrote the response.
     std::string signature;
+    // In a response: the requests per second that the target accepts from all nodes together, and a notice
+    // that the target is about to stop.
+    std::string requestLimit;
+    std::string leavingNotice;
     // The scheme of an Authorization field that contains a key.
     std::string keyScheme = "Bearer";
     // Whether the status of a refusal states if the request may have run (503 rather than 502 for "not-run"),
--- a/tarragonhaven/response_check.cc
+++ b/tarragonhaven/response_check.cc
@@ -30,18 +30,21 @@
     const auto id = headerNames.requestId.empty() ? std::string_view(requestId)
                                                   : fieldValue(head.fields, headerNames.requestId);
     if (!id.empty() && id != requestId)
-        return { ResponseVerdict::Mismatched, "response belongs to another request" };
-    if (reportsNotRun(head, headerNames))
+        return { ResponseVerdict::Mismatched, "response belongs to another request", false };
+    if (reportsNotRun(head, headerNames)) {
+        const bool misdirected = head.status == misdirectedStatus;
         return { ResponseVerdict::NotRun,
-            head.status == misdirectedStatus ? "another target listens on this address (status 421)"
-                                             : "target reports that it did not run the request" };
+            misdirected ? "another target listens on this address (status 421)"
+                        : "target reports that it did not run the request",
+            !misdirected };
+    }
     if (id.empty())
-        return { ResponseVerdict::Invalid, "response lacks the request id" };
+        return { ResponseVerdict::Invalid, "response lacks the request id", false };
     const bool success = head.status >= firstSuccessStatus && head.status < firstRedirectStatus;
     if (!success || headerNames.signature.empty())
         return {};
     if (fieldValue(head.fields, headerNames.signature).empty())
-        return { ResponseVerdict::Invalid, "successful response lacks the target's signature" };
+        return { ResponseVerdict::Invalid, "successful response lacks the target's signature", false };
     if (!fieldValue(head.fields, "Content-Encoding").empty())
         return { ResponseVerdict::Invalid,
             "successful response has a content encoding that was not requested" };
--- a/tarragonhaven/response_check.h
+++ b/tarragonhaven/response_check.h
@@ -26,6 +26,8 @@
 struct ResponseCheck {
     ResponseVerdict verdict = ResponseVerdict::Valid;
     std::string detail;
+    // Whether the expected target wrote the response, so that what it announces about itself applies.
+    bool fromTarget = true;
 
     friend auto operator<=>(const ResponseCheck&, const ResponseCheck&) = default;
     friend bool operator==(const ResponseCheck&, const ResponseCheck&) = default;
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -206,6 +206,14 @@
         fields["connectMs"] = milliseconds(*attempt.connectTime);
     if (attempt.timeToFirstByte)
         fields["firstByteMs"] = milliseconds(*attempt.timeToFirstByte);
+    if (attempt.knownLimit)
+        fields["knownLimit"] = *attempt.knownLimit;
+    if (attempt.notice.requestsPerSecond)
+        fields["namedLimit"] = *attempt.notice.requestsPerSecond;
+    if (attempt.notice.malformedLimit)
+        fields["namedLimit"] = "malformed";
+    if (attempt.notice.leaving)
+        fields["targetLeaving"] = true;
     if (attempt.status > 0) {
         fields["status"] = attempt.status;
     } else if (attempt.refusal) {
--- a/tarragonhaven/testing/fake_target.cc
+++ b/tarragonhaven/testing/fake_target.cc
@@ -279,6 +279,7 @@
                 m_response->set(headerNames.requestId, field(headerNames.requestId));
             if (!headerNames.signature.empty())
                 m_response->set(headerNames.signature, m_rep.name);
+            setNotices(status == http::status::misdirected_request);
             const bool keepAlive
                 = m_parser->get().keep_alive() && status != http::status::service_unavailable;
             m_response->keep_alive(keepAlive);
@@ -306,6 +307,18 @@
                 http::async_write(m_stream, *m_serializer, done);
         }
 
+        // Adds what the plan announces about the target. A misdirected request gets no notice, since its
+        // sender means another target.
+        void setNotices(bool misdirected)
+        {
+            const std::lock_guard lock(m_rep.mutex);
+            const auto& headerNames = m_rep.headerNames;
+            if (!headerNames.requestLimit.empty() && m_rep.plan.requestLimit >= 0 && !misdirected)
+                m_response->set(headerNames.requestLimit, absl::StrCat(m_rep.plan.requestLimit));
+            if (!headerNames.leavingNotice.empty() && m_rep.plan.announceLeaving && !misdirected)
+                m_response->set(headerNames.leavingNotice, "1");
+        }
+
         void sendRaw(const std::string& text)
         {
             m_raw = text;
--- a/tarragonhaven/testing/fake_target.h
+++ b/tarragonhaven/testing/fake_target.h
@@ -38,7 +38,8 @@
 public:
     // Throws std::runtime_error if it cannot listen on the address. Header names that are not empty have
     // these effects: `requestId` is repeated in the response, and runs are counted by it; `signature` is set
-    // to the target's name; a request whose `expectedTarget` names another target gets status 421.
+    // to the target's name; `requestLimit` and `leavingNotice` are set as the plan says; a request whose
+    // `expectedTarget` names another target gets status 421.
     FakeTarget(std::string name, const Endpoint& address, HeaderNames headerNames = {});
     ~FakeTarget();
     FakeTarget(const FakeTarget&) = delete;
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -66,6 +66,12 @@
                 target->slotsInUse(), labels);
             page.gauge("guarded_waiting", "Requests that wait for a slot of a guarded target.",
                 target->waiting(), labels);
+            if (target->requestLimit())
+                page.gauge("guarded_request_limit",
+                    "Requests per second that a guarded target accepts, as it named in its responses.",
+                    *target->requestLimit(), labels);
+            page.gauge("guarded_leaving", "Whether a guarded target has announced that it is about to stop.",
+                target->announcedLeaving() ? 1 : 0, labels);
         }
         const auto now = util::BootClock::now();
         for (const auto& [service, health] : entry.services()) {
