Reproduce a target that gets more requests than it has named

A guard sends without regard to the limit: 769 requests in 4 s to a target that named 0.5, 1 or 5 a second, where 8, 11 and 35 are allowed.

--- a/tarragonhaven/testing/fake_target.cc
+++ b/tarragonhaven/testing/fake_target.cc
@@ -135,6 +135,7 @@
     int concurrentRequests = 0;
     std::mutex mutex;
     FaultPlan plan;
+    TargetNotice notice;
     TargetStats stats;
     std::thread thread;
 };
@@ -212,6 +213,9 @@
                 if (!value.empty())
                     ++stats.runs[value];
             }
+            const auto requestId = field(m_rep.headerNames.requestId);
+            if (!requestId.empty())
+                stats.arrivals.push_back({ requestId, std::chrono::steady_clock::now() });
             return m_rep.plan;
         }
 
@@ -307,15 +311,16 @@
                 http::async_write(m_stream, *m_serializer, done);
         }
 
-        // Adds what the plan announces about the target. A misdirected request gets no notice, since its
-        // sender means another target.
+        // Adds what the target announces. A misdirected request gets no notice, since its sender means
+        // another target.
         void setNotices(bool misdirected)
         {
             const std::lock_guard lock(m_rep.mutex);
             const auto& headerNames = m_rep.headerNames;
-            if (!headerNames.requestLimit.empty() && m_rep.plan.requestLimit >= 0 && !misdirected)
-                m_response->set(headerNames.requestLimit, absl::StrCat(m_rep.plan.requestLimit));
-            if (!headerNames.leavingNotice.empty() && m_rep.plan.announceLeaving && !misdirected)
+            const auto& notice = m_rep.notice;
+            if (!headerNames.requestLimit.empty() && notice.requestsPerSecond && !misdirected)
+                m_response->set(headerNames.requestLimit, absl::StrCat(*notice.requestsPerSecond));
+            if (!headerNames.leavingNotice.empty() && notice.leaving && !misdirected)
                 m_response->set(headerNames.leavingNotice, "1");
         }
 
@@ -422,6 +427,12 @@
     m_rep->plan = plan;
 }
 
+void FakeTarget::setNotice(const TargetNotice& notice)
+{
+    const std::lock_guard lock(m_rep->mutex);
+    m_rep->notice = notice;
+}
+
 TargetStats FakeTarget::stats() const
 {
     const std::lock_guard lock(m_rep->mutex);
--- a/tarragonhaven/testing/fake_target.h
+++ b/tarragonhaven/testing/fake_target.h
@@ -2,8 +2,10 @@
 
 #include "tarragonhaven/endpoint.h"
 #include "tarragonhaven/header_names.h"
+#include "tarragonhaven/target_notice.h"
 #include "tarragonhaven/testing/fault_plan.h"
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +13,12 @@
 
 namespace tarragonhaven::testing {
 
+// A request that arrived at a target, by its request id.
+struct TargetArrival {
+    std::string requestId;
+    std::chrono::steady_clock::time_point at {};
+};
+
 // The requests that a fake target has received since it was created. A crash does not reset these counts.
 struct TargetStats {
     long requests = 0;
@@ -19,6 +27,8 @@
     // The number of requests that ran, by each value of the fields "Idempotency-Key" and "Request-Mark" and
     // of the configured request id field.
     std::map<std::string, int> runs;
+    // The requests with a request id, in the order of arrival, whether or not they ran.
+    std::vector<TargetArrival> arrivals;
     // The header lines of the requests, in the order of arrival, up to 20,000 lines. Tests search them for
     // fields that must not reach a target, such as API keys.
     std::vector<std::string> headerLines;
@@ -38,7 +48,7 @@
 public:
     // Throws std::runtime_error if it cannot listen on the address. Header names that are not empty have
     // these effects: `requestId` is repeated in the response, and runs are counted by it; `signature` is set
-    // to the target's name; `requestLimit` and `leavingNotice` are set as the plan says; a request whose
+    // to the target's name; `requestLimit` and `leavingNotice` are set as setNotice() says; a request whose
     // `expectedTarget` names another target gets status 421.
     FakeTarget(std::string name, const Endpoint& address, HeaderNames headerNames = {});
     ~FakeTarget();
@@ -48,6 +58,8 @@
     // Opens the control endpoint. Throws std::runtime_error if it cannot listen on the address.
     void openControl(const Endpoint& address);
     void setPlan(const FaultPlan& plan);
+    // Sets what every response announces from now on; a new target announces nothing.
+    void setNotice(const TargetNotice& notice);
     [[nodiscard]] TargetStats stats() const;
 
 private:
--- a/tarragonhaven/testing/fault_plan.cc
+++ b/tarragonhaven/testing/fault_plan.cc
@@ -23,8 +23,6 @@
     plan.coldMs = document.value("coldMs", plan.coldMs);
     plan.coldFactor = document.value("coldFactor", plan.coldFactor);
     plan.draining = document.value("draining", plan.draining);
-    plan.requestLimit = document.value("requestLimit", plan.requestLimit);
-    plan.announceLeaving = document.value("announceLeaving", plan.announceLeaving);
     plan.lyingHealth = document.value("lyingHealth", plan.lyingHealth);
     plan.slots = document.value("slots", plan.slots);
     return plan;
--- a/tarragonhaven/testing/fault_plan.h
+++ b/tarragonhaven/testing/fault_plan.h
@@ -33,11 +33,6 @@
     double coldFactor = 1;
     // Responds with 503 and "Connection: close".
     bool draining = false;
-    // The requests per second that every response names as the target's limit, if the target has a header
-    // name for it; negative for none.
-    double requestLimit = -1;
-    // Every response announces that the target is about to stop, if the target has a header name for it.
-    bool announceLeaving = false;
     // Reports "healthy" at GET /health even while it hangs or drops connections.
     bool lyingHealth = false;
     // The number of concurrent requests beyond which requests get 503; 0 for no limit.
--- a/tarragonhaven/testing/guarded_target_test.cc
+++ b/tarragonhaven/testing/guarded_target_test.cc
@@ -2,8 +2,11 @@
 
 #include "tarragonhaven/guarded_target.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <optional>
+#include <thread>
+#include <vector>
 
 using namespace tarragonhaven;
 
@@ -103,3 +106,40 @@
     REQUIRE(late);
     CHECK_FALSE(*late);
 }
+
+// Guards against a target that gets more requests than the limit that it names in its responses. The bound is
+// that of the users: one and a half times the limit and five requests more in 4 s, from 3 s after the limit
+// was first named.
+TEST_CASE("a target gets no more requests than the limit that it has named")
+{
+    constexpr double limits[] = { 0.5, 1.0, 5.0 };
+    SingleSlotTarget targets[std::size(limits)];
+    std::vector<util::Time> sent[std::size(limits)];
+    const auto named = util::BootClock::now();
+    for (std::size_t i = 0; i < std::size(limits); ++i)
+        targets[i].guarded.recordNotice({ limits[i], false, false });
+    while (util::BootClock::now() < named + std::chrono::milliseconds(7200)) {
+        for (std::size_t i = 0; i < std::size(limits); ++i) {
+            auto& target = targets[i];
+            const auto granted = target.acquireSlot(SingleSlotTarget::request(std::chrono::milliseconds(1)));
+            if (granted && *granted)
+                sent[i].push_back(util::BootClock::now());
+            target.guarded.releaseSlot(target.ticket);
+            target.guarded.tick();
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    for (std::size_t i = 0; i < std::size(limits); ++i) {
+        CAPTURE(limits[i], sent[i].size());
+        std::size_t most = 0;
+        for (const auto from : sent[i]) {
+            const auto inWindow
+                = [from](util::Time time) { return time >= from && time < from + std::chrono::seconds(4); };
+            if (from >= named + std::chrono::seconds(3))
+                most = std::max<std::size_t>(most, std::count_if(sent[i].begin(), sent[i].end(), inWindow));
+        }
+        CHECK(static_cast<double>(most) <= 1.5 * 4 * limits[i] + 5);
+        // Most of the limit is used.
+        CHECK(static_cast<double>(sent[i].size()) >= 0.8 * 7 * limits[i]);
+    }
+}
--- a/tarragonhaven/testing/request_ledger.h
+++ b/tarragonhaven/testing/request_ledger.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "tarragonhaven/target_notice.h"
+
 #include <chrono>
 #include <map>
 #include <mutex>
@@ -21,6 +23,11 @@
     bool complete = false;
     // Whether the content of the response belongs to this request.
     bool matchesRequest = false;
+    // The node through which the request was sent, and the target that responded and what it announced, if
+    // the caller of the request records them.
+    int node = 0;
+    std::string target;
+    TargetNotice notice;
 };
 
 // A limit over all nodes: at most `maximumRequests` requests of the organisation in any period of length
