Keep the limit that a target names in its responses at its guard

Ruled out: entries that keep the limit each by itself (no entry sent more than 6 of 33), and a guard that lost it (knownLimit was set on every such line).

Change: the guard paces its target. It is the one place that all requests of all nodes pass, retries and nested requests included, so a single token bucket counts for the fleet and nothing that could be lost is handed out. Entries remember the limit by the target's start time and name it with each request, for a guard that has just restarted. Requests that the limit cannot admit in time are refused at once.

--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -88,6 +88,7 @@
 {
     const auto now = util::BootClock::now();
     recordOutstandingAges(now);
+    m_notices.removeExpired(now);
     for (auto& [name, service] : m_services) {
         if (service.upToDate())
             continue;
@@ -274,11 +275,13 @@
 
 void Entry::recordReport(const TargetName& target, const TargetReport& report)
 {
+    const auto now = util::BootClock::now();
+    m_notices.record(target, report, now);
     const auto service = m_serviceOfTarget.find(target);
     if (service == m_serviceOfTarget.end())
         return;
     if (auto* health = this->health(service->second))
-        health->recordReport(target, report, util::BootClock::now());
+        health->recordReport(target, report, now);
 }
 
 std::uint64_t Entry::addOutstanding(const ServiceName& service, const TargetName& target)
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -14,6 +14,7 @@
 #include "tarragonhaven/route_splitter.h"
 #include "tarragonhaven/service_health.h"
 #include "tarragonhaven/target_chooser.h"
+#include "tarragonhaven/target_notices.h"
 #include "tarragonhaven/traffic_metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -90,12 +91,14 @@
     TargetChoice choose(const ServiceName& service, ChoiceRequest request);
     // Excludes a target from choices for `time`, unless no other target can be chosen.
     void avoid(const TargetName& target, util::Duration time);
-    // Records an unsolicited report of a guard node about its target.
+    // Records a report of a guard node about its target.
     void recordReport(const TargetName& target, const TargetReport& report);
     // Records in the service's health that a request awaits the response of a target, until
     // removeOutstanding() is called with the returned number.
     std::uint64_t addOutstanding(const ServiceName& service, const TargetName& target);
     void removeOutstanding(std::uint64_t number);
+    // Returns what a target has announced about itself, as far as this node knows.
+    [[nodiscard]] TargetNotice noticeOf(const Target& target) const { return m_notices.find(target); }
     [[nodiscard]] const Dependencies& dependencies() const { return m_dependencies; }
     [[nodiscard]] const ConfigurationPointer& configuration() const { return m_configuration; }
     [[nodiscard]] const DirectoryPointer& directory() const { return m_directory; }
@@ -143,6 +146,7 @@
     // Targets passed to avoid(), with the time at which they may be chosen again.
     std::map<TargetName, util::Time> m_avoided;
     std::map<TargetName, ServiceName> m_serviceOfTarget;
+    TargetNotices m_notices;
     LocalRetryLimiter m_localRetries;
     std::map<std::uint64_t, OutstandingRequest> m_outstanding;
     std::uint64_t m_lastOutstandingNumber = 0;
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -84,6 +84,7 @@
         context.mayQueue = false;
         auto nonQueuing = request;
         nonQueuing.excluded.insert(m_targetsWithoutFreeSlot.begin(), m_targetsWithoutFreeSlot.end());
+        nonQueuing.includeLimited = false;
         const auto choice = m_entry.choose(context.service, nonQueuing);
         if (choice.target)
             return choice;
@@ -124,6 +125,7 @@
 {
     m_target = target.name;
     ++m_attempts;
+    m_request.context.knownTargetLimit = m_entry.noticeOf(target).requestsPerSecond;
     const auto& dependencies = m_entry.dependencies();
     if (target.instance == dependencies.self) {
         auto guarded = dependencies.guard.find(target.name);
@@ -138,7 +140,7 @@
     m_attempt = std::make_shared<PeerExchange>(dependencies.peers, *instance, target.name, m_request.context,
         m_request.head, [weak = weak_from_this(), name = target.name](const TargetReport& report) {
             if (const auto self = weak.lock())
-                self->recordReport(name, report);
+                self->m_entry.recordReport(name, report);
         });
     return true;
 }
@@ -177,17 +179,11 @@
         return call(**remote);
 }
 
-void EntryExchange::recordReport(const TargetName& target, const TargetReport& report)
-{
-    if (auto* health = m_entry.health(m_request.context.service))
-        health->recordReport(target, report, util::BootClock::now());
-}
-
 void EntryExchange::onAttemptEnded()
 {
     m_entry.removeOutstanding(std::exchange(m_outstandingNumber, 0));
     if (const auto* local = std::get_if<std::shared_ptr<GuardExchange>>(&m_attempt))
-        recordReport(m_target, (*local)->report());
+        m_entry.recordReport(m_target, (*local)->report());
 }
 
 // Returns whether the body can be sent again: either none of it was read from the caller, or all of it is in
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -71,7 +71,6 @@
     void finish(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     Refusal finalRefusal(Refusal refusal);
     void onAttemptEnded();
-    void recordReport(const TargetName& target, const TargetReport& report);
     void settleAdmission(IdempotencyOutcome outcome, int status);
     [[nodiscard]] AdmissionRequest admissionRequest() const;
     template <typename Call> void withAttempt(Call call);
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -5,6 +5,13 @@
 
 namespace tarragonhaven {
 
+namespace {
+
+    // How long the state of a target is kept that the directory no longer lists.
+    constexpr util::Duration unlistedRetention = std::chrono::minutes(10);
+
+} // namespace
+
 Guard::Guard(boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation, GuardOptions options)
     : m_io(io)
     , m_self(std::move(self))
@@ -13,27 +20,41 @@
 {
 }
 
+std::shared_ptr<GuardedTarget> Guard::takeKnown(
+    const Target& target, std::map<TargetName, std::shared_ptr<GuardedTarget>>& previous)
+{
+    const auto isSame = [&target](const std::shared_ptr<GuardedTarget>& guarded) {
+        return guarded->target().startTimeMs == target.startTimeMs;
+    };
+    const auto listed = previous.find(target.name);
+    if (listed != previous.end())
+        return isSame(listed->second) ? previous.extract(listed).mapped() : nullptr;
+    const auto unlisted = m_unlisted.extract(target.name);
+    return !unlisted.empty() && isSame(unlisted.mapped().guarded) ? unlisted.mapped().guarded : nullptr;
+}
+
 void Guard::apply(const Directory& directory)
 {
+    const auto now = util::BootClock::now();
+    std::erase_if(
+        m_unlisted, [now](const auto& item) { return now - item.second.since > unlistedRetention; });
     auto previous = std::exchange(m_targets, {});
     for (const auto& [service, targets] : directory.targets()) {
         for (const auto& target : targets) {
             if (target.instance != m_self)
                 continue;
-            auto guarded = previous[target.name];
-            const bool same = guarded && guarded->target().startTimeMs == target.startTimeMs;
-            if (same)
+            auto guarded = takeKnown(target, previous);
+            if (guarded)
                 guarded->update(target);
             else
                 guarded = std::make_shared<GuardedTarget>(m_io, target, m_incarnation, m_options);
-            m_targets.emplace(target.name, guarded);
-            if (same)
-                previous.erase(target.name);
+            m_targets.emplace(target.name, std::move(guarded));
         }
     }
     for (const auto& [name, removed] : previous) {
-        if (removed)
-            removed->retire();
+        removed->retire();
+        if (!m_targets.contains(name))
+            m_unlisted[name] = { removed, now };
     }
     if (m_draining)
         drain();
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -18,8 +18,9 @@
     Guard(
         boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation, GuardOptions options = {});
 
-    // Applies a new directory. A target that is no longer listed finishes the requests that it has. A target
-    // that restarted under the same name begins without evidence and without connections.
+    // Applies a new directory. A target that is no longer listed finishes the requests that it has; if the
+    // same start of it is listed again, what it has announced still holds. A target that restarted under the
+    // same name begins without evidence, without announcements and without connections.
     void apply(const Directory& directory);
     // Returns the target, or null if this node does not guard it.
     [[nodiscard]] std::shared_ptr<GuardedTarget> find(const TargetName& name) const;
@@ -55,12 +56,21 @@
     }
 
 private:
+    // Returns the state of this start of a target, or null if there is none.
+    std::shared_ptr<GuardedTarget> takeKnown(
+        const Target& target, std::map<TargetName, std::shared_ptr<GuardedTarget>>& previous);
+
     boost::asio::io_context& m_io;
     InstanceName m_self;
     std::uint64_t m_incarnation;
     GuardOptions m_options;
     bool m_draining = false;
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
+    struct UnlistedTarget {
+        std::shared_ptr<GuardedTarget> guarded;
+        util::Time since {};
+    };
+    std::map<TargetName, UnlistedTarget> m_unlisted;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -1,8 +1,10 @@
 #include "tarragonhaven/guarded_target.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace tarragonhaven {
@@ -56,7 +58,18 @@
         std::string(toString(m_breaker->state(util::BootClock::now()))) };
 }
 
-std::optional<Refusal> GuardedTarget::admissionRefusal(const RequestContext& context) const
+std::string GuardedTarget::limitDetail() const
+{
+    return m_pacer ? absl::StrCat("the target accepts ", m_pacer->limit(), " requests per second") : "";
+}
+
+bool GuardedTarget::hasFreeSlot(util::Time now)
+{
+    return m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0
+        && (!m_pacer || m_pacer->available(now) > 0);
+}
+
+std::optional<Refusal> GuardedTarget::admissionRefusal(const RequestContext& context)
 {
     const auto now = util::BootClock::now();
     const auto refusal = [](RefusalReason reason) {
@@ -66,14 +79,26 @@
         return refusal(RefusalReason::Stopping);
     if (m_breaker && !context.bypassesBreaker && !m_breaker->admits(context.idempotent, now))
         return breakerRefusal();
-    if (m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0)
+    if (hasFreeSlot(now))
         return std::nullopt;
     if (!context.mayQueue)
-        return refusal(RefusalReason::NoFreeSlot);
-    const auto position = static_cast<int>(m_queue.waitingBefore(context.rank)) + 1;
-    const auto wait = m_averageHoldTime * position / std::max(1, m_queue.slots());
+        return Refusal { RefusalReason::NoFreeSlot, RunState::NotRun, queueRetryAfter,
+            m_queue.inUse() < m_queue.slots() ? limitDetail() : "" };
+    return predictedTimeout(context, now);
+}
+
+std::optional<Refusal> GuardedTarget::predictedTimeout(const RequestContext& context, util::Time now)
+{
+    const auto position = m_queue.waitingBefore(context.rank) + 1;
+    const auto waitForLimit = m_pacer ? m_pacer->timeUntil(position, now) : util::Duration {};
+    if (m_pacer && now + waitForLimit > queueDeadline(context))
+        return Refusal { RefusalReason::QueueFull, RunState::NotRun, std::max(queueRetryAfter, waitForLimit),
+            limitDetail() };
+    const auto waitForSlot
+        = m_averageHoldTime * static_cast<std::int64_t>(position) / std::max(1, m_queue.slots());
+    const auto wait = std::max<util::Duration>(waitForSlot, waitForLimit);
     if (m_options.refusePredictedTimeouts && now + wait + m_averageHoldTime > queueDeadline(context))
-        return refusal(RefusalReason::QueueFull);
+        return Refusal { RefusalReason::QueueFull, RunState::NotRun, queueRetryAfter, "" };
     return std::nullopt;
 }
 
@@ -83,15 +108,17 @@
     const auto now = util::BootClock::now();
     if (!context.entry.text.empty())
         m_entryLastUse[context.entry] = now;
+    adoptKnownLimit(context);
     m_waiting.emplace(ticket, WaitingRequest { std::move(handler), context.bypassesBreaker });
     if (const auto refusal = admissionRefusal(context)) {
         refuse(ticket, *refusal);
         return ticket;
     }
     // A free slot is granted even if the queue timeout has passed; only the deadline counts then.
-    const bool free = m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0;
-    const auto limit = free ? context.deadline : queueDeadline(context);
-    const auto acquisition = m_queue.acquire({ ticket, context.organisation, limit, context.rank }, now);
+    const bool free = hasFreeSlot(now);
+    const SlotTicket slotTicket { ticket, context.organisation,
+        free ? context.deadline : queueDeadline(context), context.rank };
+    const auto acquisition = free ? m_queue.acquire(slotTicket, now) : m_queue.enqueue(slotTicket);
     if (acquisition.displaced)
         refuse(*acquisition.displaced, { RefusalReason::QueueFull, RunState::NotRun, queueRetryAfter, "" });
     if (acquisition.granted)
@@ -132,13 +159,16 @@
 void GuardedTarget::grantWaiting()
 {
     const auto now = util::BootClock::now();
-    for (const auto ticket : m_queue.grant(now))
+    const auto maximum = m_pacer ? m_pacer->available(now) : std::numeric_limits<std::size_t>::max();
+    for (const auto ticket : m_queue.grant(now, maximum))
         onGranted(ticket, now);
 }
 
 void GuardedTarget::onGranted(std::uint64_t ticket, util::Time now)
 {
     m_grantedAt.emplace(ticket, now);
+    if (m_pacer)
+        m_pacer->take(now);
     auto waiting = m_waiting.extract(ticket);
     boost::asio::post(m_io, [handler = std::move(waiting.mapped().handler)] { handler({}); });
 }
@@ -148,6 +178,8 @@
     const auto now = util::BootClock::now();
     for (const auto ticket : m_queue.expire(now))
         refuse(ticket, { RefusalReason::QueueTimeout, RunState::NotRun, queueRetryAfter, "" });
+    if (m_pacer)
+        grantWaiting();
     const auto oldest = now - m_pushTrigger.overdueAge();
     for (auto& [ticket, request] : m_inFlight) {
         if (request.overdue || request.sentAt >= oldest)
@@ -288,9 +320,34 @@
 
 void GuardedTarget::recordNotice(const TargetNotice& notice)
 {
-    if (!notice.malformedLimit)
-        m_requestLimit = notice.requestsPerSecond;
     m_announcedLeaving = m_announcedLeaving || notice.leaving;
+    if (notice.malformedLimit)
+        return;
+    m_limitKnown = true;
+    if (notice.requestsPerSecond != requestLimit())
+        m_pushTrigger.recordChange();
+    setLimit(notice.requestsPerSecond);
+}
+
+void GuardedTarget::setLimit(std::optional<double> requestsPerSecond)
+{
+    const auto now = util::BootClock::now();
+    if (!requestsPerSecond) {
+        m_pacer.reset();
+        return grantWaiting();
+    }
+    if (m_pacer)
+        m_pacer->setLimit(*requestsPerSecond, now);
+    else
+        m_pacer.emplace(*requestsPerSecond, now);
+}
+
+void GuardedTarget::adoptKnownLimit(const RequestContext& context)
+{
+    if (m_limitKnown || !context.knownTargetLimit)
+        return;
+    if (!m_pacer || *context.knownTargetLimit < m_pacer->limit())
+        setLimit(context.knownTargetLimit);
 }
 
 void GuardedTarget::recordConnectFailure()
@@ -308,6 +365,10 @@
     m_report.waiting = static_cast<int>(m_queue.waiting());
     m_report.draining = m_draining || m_target.leaving;
     const auto now = util::BootClock::now();
+    m_report.startTimeMs = m_target.startTimeMs;
+    m_report.limitKnown = m_limitKnown;
+    m_report.requestLimit = requestLimit();
+    m_report.limitedMs = m_pacer ? milliseconds(m_pacer->timeUntil(m_queue.waiting() + 1, now)) : 0;
     if (m_lastSuccess != util::Time {})
         m_report.sinceSuccessMs = milliseconds(now - m_lastSuccess);
     if (m_breaker) {
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/guard_options.h"
 #include "tarragonhaven/report_push_trigger.h"
 #include "tarragonhaven/request_context.h"
+#include "tarragonhaven/request_pacer.h"
 #include "tarragonhaven/slot_queue.h"
 #include "tarragonhaven/target.h"
 #include "tarragonhaven/target_breaker.h"
@@ -22,8 +23,9 @@
 namespace tarragonhaven {
 
 // A target as managed by the one node that guards it: its slots, its queue, its idle connections, its breaker
-// and the counters of its successes and failures. Only this node sends requests to the target, so this state
-// has a single writer. Not thread-safe: runs on the thread of `io`.
+// the limit that the target has named and the counters of its successes and failures. Only this node sends
+// requests to the target, so this state has a single writer: the requests of all entry nodes, retries and the
+// requests of other targets are paced together. Not thread-safe: runs on the thread of `io`.
 class GuardedTarget {
 public:
     GuardedTarget(
@@ -68,8 +70,11 @@
     [[nodiscard]] int waiting() const { return static_cast<int>(m_queue.waiting()); }
     [[nodiscard]] const Target& target() const { return m_target; }
     [[nodiscard]] const GuardOptions& options() const { return m_options; }
-    // Returns the limit that the target named last, in requests per second, if any.
-    [[nodiscard]] std::optional<double> requestLimit() const { return m_requestLimit; }
+    // Returns the limit that is in force, in requests per second, if any.
+    [[nodiscard]] std::optional<double> requestLimit() const
+    {
+        return m_pacer ? std::optional(m_pacer->limit()) : std::nullopt;
+    }
     // Returns whether the target has announced that it is about to stop.
     [[nodiscard]] bool announcedLeaving() const { return m_announcedLeaving; }
     // Returns the breaker's state if it differs from the state at the last call.
@@ -89,7 +94,16 @@
     };
 
     // Returns the refusal for a request that must not be queued or given a slot, if any.
-    [[nodiscard]] std::optional<Refusal> admissionRefusal(const RequestContext& context) const;
+    [[nodiscard]] std::optional<Refusal> admissionRefusal(const RequestContext& context);
+    // Returns the refusal for a request that would wait in the queue for longer than it may, if any.
+    [[nodiscard]] std::optional<Refusal> predictedTimeout(const RequestContext& context, util::Time now);
+    // Returns whether a request that arrives now gets a slot without waiting.
+    [[nodiscard]] bool hasFreeSlot(util::Time now);
+    // Returns a text for refusals that states the target's limit; empty if there is none.
+    [[nodiscard]] std::string limitDetail() const;
+    void setLimit(std::optional<double> requestsPerSecond);
+    // Applies the limit that an entry node knows, while the target has not responded to this guard yet.
+    void adoptKnownLimit(const RequestContext& context);
     [[nodiscard]] Refusal breakerRefusal() const;
     void refuse(std::uint64_t ticket, Refusal refusal);
     void grantWaiting();
@@ -106,7 +120,10 @@
     SlotQueue m_queue;
     std::map<std::uint64_t, WaitingRequest> m_waiting;
     std::map<std::uint64_t, util::Time> m_grantedAt;
-    std::optional<double> m_requestLimit;
+    // Set while a limit is in force.
+    std::optional<RequestPacer> m_pacer;
+    // Whether a response has shown to this guard if the target names a limit.
+    bool m_limitKnown = false;
     bool m_announcedLeaving = false;
     // Moving average of the time for which requests hold a slot; zero until the first request has ended.
     util::Duration m_averageHoldTime {};
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -73,6 +73,7 @@
     if (m_context.queueDeadline != util::Time {})
         frame.queueTimeoutUs = std::max<std::int64_t>(1, microseconds(m_context.queueDeadline - now));
     frame.bypassesBreaker = m_context.bypassesBreaker;
+    frame.knownTargetLimit = m_context.knownTargetLimit;
     return frame;
 }
 
--- a/tarragonhaven/peer_frame.h
+++ b/tarragonhaven/peer_frame.h
@@ -49,8 +49,10 @@
     std::int64_t queueTimeoutUs = 0;
     // Whether the request bypasses the breaker of the target.
     bool bypassesBreaker = false;
+    // The target's limit in requests per second, if the entry node knows one.
+    std::optional<double> knownTargetLimit;
     MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, head, callerService, rank,
-        mayQueue, deadlineCoversBody, queueTimeoutUs, bypassesBreaker);
+        mayQueue, deadlineCoversBody, queueTimeoutUs, bypassesBreaker, knownTargetLimit);
 
     friend bool operator==(const OpenFrame&, const OpenFrame&) = default;
 };
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -93,6 +93,7 @@
     if (frame.queueTimeoutUs > 0)
         context.queueDeadline = util::BootClock::now() + std::chrono::microseconds(frame.queueTimeoutUs);
     context.bypassesBreaker = frame.bypassesBreaker;
+    context.knownTargetLimit = frame.knownTargetLimit;
     m_exchange = std::make_shared<GuardExchange>(m_target, std::move(context), frame.head);
     if (!m_requestBodyPending)
         watchForEntryDisconnect();
--- a/tarragonhaven/report_push_trigger.h
+++ b/tarragonhaven/report_push_trigger.h
@@ -9,8 +9,9 @@
 
 // Decides when a guard sends reports on its target to entry nodes on its own initiative. Reports normally
 // accompany responses, so an entry node that sends a target few requests would learn late that the target
-// fails requests of others. Therefore, while a target fails or is slower than it used to be, its guard sends
-// its counters to every entry node that has used it recently, at most once per interval.
+// fails requests of others. Therefore, while a target fails or is slower than it used to be, and when it
+// announces something new about itself, its guard sends its report to every entry node that has used it
+// recently, at most once per interval.
 class ReportPushTrigger {
 public:
     // Records a success; `logLatency` is log2 of the microseconds to the first byte.
@@ -25,6 +26,8 @@
     }
     // Records a failure, or a request that has waited far longer than responses used to take.
     void recordFailure() { m_pushNeeded = true; }
+    // Records that the target has announced something new about itself.
+    void recordChange() { m_pushNeeded = true; }
 
     // Returns whether to send a report now. Returning true starts a new interval.
     bool due(util::Time now)
--- a/tarragonhaven/request_context.h
+++ b/tarragonhaven/request_context.h
@@ -3,6 +3,7 @@
 #include "tarragonhaven/names.h"
 #include "util/time.h"
 
+#include <optional>
 #include <string>
 
 namespace tarragonhaven {
@@ -34,6 +35,9 @@
     // Whether the request is sent to the target even if the guard's breaker would hold it back. Set when all
     // other targets refused the request.
     bool bypassesBreaker = false;
+    // The limit of the target in requests per second, as the entry node learned it, if it knows one. A guard
+    // that has just started uses it until its target responds.
+    std::optional<double> knownTargetLimit;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -36,6 +36,9 @@
     constexpr int percent = 100;
     // The share of its slots for which a target is used while it is slow after its start.
     constexpr double slowStartShare = 0.4;
+    // The least share for which a target with a limit is used, so that it can show that the limit has ended.
+    constexpr double minimumLimitShare = 0.05;
+    constexpr double microsecondsPerSecond = 1e6;
     // In seconds. A success that is older than this says nothing about the present.
     constexpr double maximumSecondsSinceSuccess = 4;
 
@@ -422,6 +425,15 @@
     return std::min(maximumSecondsSinceSuccess, util::toSeconds(age));
 }
 
+double ServiceHealth::limitShare(const State& state)
+{
+    const auto& limit = state.evidence.lastReport().requestLimit;
+    if (!limit || state.evidence.samples() < minimumSamples)
+        return 1;
+    const double serviceSeconds = std::exp2(state.evidence.logLatency()) / microsecondsPerSecond;
+    return std::clamp(*limit * serviceSeconds / state.target.slots, minimumLimitShare, 1.0);
+}
+
 std::vector<TargetView> ServiceHealth::views(util::Time now) const
 {
     std::vector<double> latencies;
@@ -436,7 +448,8 @@
         view.target = &state.target;
         view.ejectionState = state.ejection.state();
         view.leaving = state.leaving || state.target.leaving || state.evidence.lastReport().draining;
-        view.weight = state.ejection.weight(now) * (now < state.target.slowStartUntil ? slowStartShare : 1);
+        view.weight = state.ejection.weight(now) * limitShare(state)
+            * (now < state.target.slowStartUntil ? slowStartShare : 1);
         const auto& report = state.evidence.lastReport();
         const int reported = report.slotsInUse + report.waiting + state.sentSinceReport;
         view.load = static_cast<double>(std::max(reported, state.inFlight)) / state.target.slots;
@@ -447,6 +460,7 @@
             = now < state.lastReport + std::chrono::milliseconds(report.idempotentBlockedMs);
         view.blocksNonIdempotent
             = now < state.lastReport + std::chrono::milliseconds(report.nonIdempotentBlockedMs);
+        view.limited = now < state.lastReport + std::chrono::milliseconds(report.limitedMs);
         result.push_back(view);
     }
     return result;
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -58,6 +58,8 @@
     // others.
     bool blocksIdempotent = false;
     bool blocksNonIdempotent = false;
+    // Whether the limit that the target has named admits no further request now.
+    bool limited = false;
 };
 
 // One node's view of the targets of one service: the evidence against each target, the ejection states, and
@@ -124,6 +126,8 @@
     };
     using States = std::map<TargetName, State>;
 
+    // Returns the share of its slots that a target can use within the limit that it has named.
+    static double limitShare(const State& state);
     static double secondsSinceSuccess(const State& state, util::Time now);
     static bool countsForFloor(const State& state);
     [[nodiscard]] std::vector<double> sortedScores() const;
--- a/tarragonhaven/slot_queue.cc
+++ b/tarragonhaven/slot_queue.cc
@@ -22,6 +22,11 @@
         assignSlot(ticket);
         return { true, std::nullopt };
     }
+    return enqueue(ticket);
+}
+
+SlotAcquisition SlotQueue::enqueue(const SlotTicket& ticket)
+{
     auto& queue = m_organisations[ticket.organisation].queue;
     queue.insert(std::upper_bound(queue.begin(), queue.end(), ticket,
                      [](const SlotTicket& a, const SlotTicket& b) { return a.rank < b.rank; }),
@@ -109,10 +114,10 @@
     return best;
 }
 
-std::vector<std::uint64_t> SlotQueue::grant(util::Time now)
+std::vector<std::uint64_t> SlotQueue::grant(util::Time now, std::size_t maximum)
 {
     std::vector<std::uint64_t> granted;
-    while (inUse() < m_options.slots) {
+    while (inUse() < m_options.slots && granted.size() < maximum) {
         const auto state = nextToServe(now);
         if (state == m_organisations.end())
             break;
--- a/tarragonhaven/slot_queue.h
+++ b/tarragonhaven/slot_queue.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <tuple>
@@ -67,10 +68,14 @@
 
     // Grants the ticket a free slot or queues it. The id must not be in use.
     SlotAcquisition acquire(const SlotTicket& ticket, util::Time now);
+    // Queues the ticket even if a slot is free. The id must not be in use.
+    SlotAcquisition enqueue(const SlotTicket& ticket);
     // Releases the slot of a granted ticket, or removes a waiting ticket. Ignores unknown ids.
     void release(std::uint64_t id);
-    // Grants free slots to waiting tickets and returns their ids in the order of the grants.
-    std::vector<std::uint64_t> grant(util::Time now);
+    // Grants free slots to waiting tickets, at most `maximum`, and returns their ids in the order of the
+    // grants.
+    std::vector<std::uint64_t> grant(
+        util::Time now, std::size_t maximum = std::numeric_limits<std::size_t>::max());
     // Removes the waiting tickets whose deadline has passed and returns their ids.
     std::vector<std::uint64_t> expire(util::Time now);
     // Changes the number of slots. Tickets that hold a slot keep it, even beyond the new number.
--- a/tarragonhaven/target_chooser.cc
+++ b/tarragonhaven/target_chooser.cc
@@ -24,7 +24,7 @@
         std::vector<const TargetView*> result;
         for (const auto& view : views) {
             const bool blocked = request.idempotent ? view.blocksIdempotent : view.blocksNonIdempotent;
-            if (blocked && !request.includeBlocked)
+            if ((blocked && !request.includeBlocked) || (view.limited && !request.includeLimited))
                 continue;
             const bool trusted
                 = view.ejectionState == EjectionState::Active || view.ejectionState == EjectionState::Ramp;
--- a/tarragonhaven/target_chooser.h
+++ b/tarragonhaven/target_chooser.h
@@ -43,6 +43,8 @@
     double noSuccessPenalty = 0;
     // Whether targets may be used whose breaker refuses the request.
     bool includeBlocked = false;
+    // Whether targets may be used whose own limit admits no request now, so that the request has to wait.
+    bool includeLimited = true;
     // Chooses the lowest cost among all usable targets, regardless of distance.
     bool lowestCost = false;
 };
--- a/tarragonhaven/target_report.h
+++ b/tarragonhaven/target_report.h
@@ -3,6 +3,7 @@
 #include <compare>
 #include <cstdint>
 #include <msgpack.hpp>
+#include <optional>
 
 namespace tarragonhaven {
 
@@ -31,8 +32,17 @@
     // others.
     std::int64_t idempotentBlockedMs = 0;
     std::int64_t nonIdempotentBlockedMs = 0;
+    // The start time of the target that the report describes.
+    std::int64_t startTimeMs = 0;
+    // Whether a response has shown to this incarnation of the guard if the target names a limit, and the
+    // limit that the guard keeps, in requests per second, if any.
+    bool limitKnown = false;
+    std::optional<double> requestLimit;
+    // Milliseconds until the limit admits one more request after those that wait.
+    std::int64_t limitedMs = 0;
     MSGPACK_DEFINE_ARRAY(incarnation, sequence, slots, slotsInUse, waiting, draining, successes, failures,
-        overdue, logLatencySum, sinceSuccessMs, idempotentBlockedMs, nonIdempotentBlockedMs);
+        overdue, logLatencySum, sinceSuccessMs, idempotentBlockedMs, nonIdempotentBlockedMs, startTimeMs,
+        limitKnown, requestLimit, limitedMs);
 
     friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
--- a/tarragonhaven/testing/codec_test.cc
+++ b/tarragonhaven/testing/codec_test.cc
@@ -15,12 +15,20 @@
 
     std::vector<PeerFrame> frames()
     {
+        TargetReport limited;
+        limited.startTimeMs = 1767225600000;
+        limited.limitKnown = true;
+        limited.requestLimit = 2.5;
+        limited.limitedMs = 400;
+        OpenFrame hinted { "r", "o", "t", false, 1000, {} };
+        hinted.knownTargetLimit = 2.5;
         const RequestHead request { "POST", "/a?b=c", { { "X", "y" } }, true, 12 };
         return { HelloFrame { 1, "f", "i", 7 }, OpenFrame { "r", "o", "t", true, 1000, request },
             OpenedFrame { "r" }, RefusedFrame { "r", 3, 1, 500, "why", {} },
             BodyFrame { "r", { std::string("a\0b", 3), true } },
             ResponseFrame { "r", { 200, { { "A", "b" } }, true, -1 }, {} }, ValueRequestFrame { "index" },
-            ValueFrame { "index", true, 9, "{}" }, GoodbyeFrame {} };
+            ValueFrame { "index", true, 9, "{}" }, GoodbyeFrame {}, hinted,
+            ResponseFrame { "r", { 200, {}, false, 0 }, limited } };
     }
 
     std::vector<ControlMessage> messages()
--- /dev/null
+++ b/tarragonhaven/testing/guard_test.cc
@@ -0,0 +1,42 @@
+// Tests what a guard remembers of its targets when the directory changes, without sockets.
+
+#include "tarragonhaven/guard.h"
+
+#include <catch2/catch.hpp>
+
+using namespace tarragonhaven;
+
+namespace {
+
+Directory directoryWith(std::vector<Target> targets)
+{
+    Directory::TargetsByService services;
+    services[{ "status" }] = std::move(targets);
+    return Directory(std::move(services), 7000);
+}
+
+Target makeTarget(std::int64_t startTimeMs)
+{
+    Target target { { "t1" }, { "i1" }, { "127.0.0.1", 1 }, 1 };
+    target.startTimeMs = startTimeMs;
+    return target;
+}
+
+} // namespace
+
+TEST_CASE("a guard knows the limit of a target that the directory has lost and lists again")
+{
+    boost::asio::io_context io;
+    Guard guard(io, { "i1" }, 1);
+    guard.apply(directoryWith({ makeTarget(100) }));
+    guard.find({ "t1" })->recordNotice({ 2.0, false, false });
+    guard.apply(directoryWith({}));
+    CHECK(guard.find({ "t1" }) == nullptr);
+    guard.apply(directoryWith({ makeTarget(100) }));
+    REQUIRE(guard.find({ "t1" }));
+    CHECK(guard.find({ "t1" })->requestLimit() == 2.0);
+    // A later start has named no limit.
+    guard.apply(directoryWith({ makeTarget(200) }));
+    REQUIRE(guard.find({ "t1" }));
+    CHECK_FALSE(guard.find({ "t1" })->requestLimit());
+}
--- a/tarragonhaven/testing/guarded_target_test.cc
+++ b/tarragonhaven/testing/guarded_target_test.cc
@@ -143,3 +143,47 @@
         CHECK(static_cast<double>(sent[i].size()) >= 0.8 * 7 * limits[i]);
     }
 }
+
+// Guards against a restart of the guard by which the limit of its target would be lost.
+TEST_CASE("a guard that has just started keeps the limit that an entry node knows")
+{
+    SingleSlotTarget target;
+    auto context = SingleSlotTarget::request(std::chrono::seconds(5));
+    context.mayQueue = false;
+    context.knownTargetLimit = 2;
+    const auto refused = target.acquireSlot(context);
+    REQUIRE(refused);
+    REQUIRE_FALSE(*refused);
+    CHECK(refused->error().reason == RefusalReason::NoFreeSlot);
+    CHECK(target.guarded.report().requestLimit == 2.0);
+    CHECK_FALSE(target.guarded.report().limitKnown);
+    // Once the target has responded, its own word counts.
+    target.guarded.recordNotice({});
+    CHECK(target.guarded.report().limitKnown);
+    const auto granted = target.acquireSlot(context);
+    REQUIRE(granted);
+    CHECK(*granted);
+}
+
+TEST_CASE("a request that the limit of its target cannot admit in time is refused at once")
+{
+    SingleSlotTarget target;
+    target.guarded.recordNotice({ 1.0, false, false });
+    CHECK_FALSE(target.acquireSlot(SingleSlotTarget::request(std::chrono::milliseconds(1500))));
+    const auto refused = target.acquireSlot(SingleSlotTarget::request(std::chrono::milliseconds(1500)));
+    REQUIRE(refused);
+    REQUIRE_FALSE(*refused);
+    CHECK(refused->error().reason == RefusalReason::QueueFull);
+    CHECK(refused->error().run == RunState::NotRun);
+    // It would have been admitted after 2 s.
+    CHECK(refused->error().retryAfter > std::chrono::milliseconds(1500));
+    CHECK(refused->error().retryAfter <= std::chrono::seconds(2));
+}
+
+TEST_CASE("a malformed limit leaves the earlier one in force")
+{
+    SingleSlotTarget target;
+    target.guarded.recordNotice({ 3.0, false, false });
+    target.guarded.recordNotice({ std::nullopt, true, false });
+    CHECK(target.guarded.requestLimit() == 3.0);
+}
--- a/tarragonhaven/testing/service_health_test.cc
+++ b/tarragonhaven/testing/service_health_test.cc
@@ -47,6 +47,16 @@
             health.recordReport(nameOf(target), report, clock.now());
         }
 
+        void setLimit(std::size_t target, double requestsPerSecond, std::chrono::milliseconds untilNext)
+        {
+            auto& report = m_reports[target];
+            ++report.sequence;
+            report.limitKnown = true;
+            report.requestLimit = requestsPerSecond;
+            report.limitedMs = untilNext.count();
+            health.recordReport(nameOf(target), report, clock.now());
+        }
+
         std::vector<EjectionDecision> evaluate()
         {
             clock.advance(std::chrono::milliseconds(50));
@@ -276,4 +286,26 @@
     CHECK(health.views(now + std::chrono::seconds(2))[1].weight == 1);
 }
 
+TEST_CASE("a target with a limit is used for the share of its slots that the limit admits")
+{
+    SimulatedService service({ 5, 5 }, 0);
+    for (int i = 0; i < 20; ++i)
+        service.respond(static_cast<std::size_t>(i % 2), 200);
+    service.setLimit(1, 5, std::chrono::milliseconds(400));
+    // With 200 ms per request, five requests per second keep one of five slots busy.
+    const auto views = service.health.views(service.clock.now());
+    CHECK(views[0].weight == 1);
+    CHECK(views[1].weight == Approx(0.2).epsilon(0.1));
+    CHECK_FALSE(views[0].limited);
+    CHECK(views[1].limited);
+    std::mt19937_64 random(1);
+    const auto distance = [](const Target&) { return 0; };
+    ChoiceRequest request { true, { SimulatedService::nameOf(0) } };
+    CHECK(chooseTarget(views, request, distance, random).target->name.text == "t1");
+    request.includeLimited = false;
+    CHECK(chooseTarget(views, request, distance, random).target == nullptr);
+    service.clock.advance(std::chrono::milliseconds(400));
+    CHECK_FALSE(service.health.views(service.clock.now())[1].limited);
+}
+
 } // namespace tarragonhaven::testing
--- a/tarragonhaven/testing/slot_queue_test.cc
+++ b/tarragonhaven/testing/slot_queue_test.cc
@@ -145,4 +145,17 @@
     CHECK(!queue.acquire({ 6, { "a" }, deadline }, clock.now()).granted);
 }
 
+TEST_CASE("a queued ticket gets a free slot only when grant() may grant one")
+{
+    const util::Time now { std::chrono::hours(1) };
+    const auto deadline = now + std::chrono::seconds(1);
+    SlotQueue queue({ 3, 100 });
+    for (std::uint64_t id = 1; id <= 3; ++id)
+        CHECK_FALSE(queue.enqueue({ id, { "harbour" }, deadline }).granted);
+    CHECK(queue.inUse() == 0);
+    CHECK(queue.grant(now, 0).empty());
+    CHECK(queue.grant(now, 2) == std::vector<std::uint64_t> { 1, 2 });
+    CHECK(queue.waiting() == 1);
+}
+
 } // namespace tarragonhaven::testing
--- a/tarragonhaven/token_bucket.cc
+++ b/tarragonhaven/token_bucket.cc
@@ -66,10 +66,15 @@
     m_tokens = std::min(m_tokens, std::max(0.0, static_cast<double>(share.burst - m_outstanding)));
 }
 
-int TokenBucket::take(int wanted, util::Time now, util::Time usableUntil, std::uint64_t grantId)
+int TokenBucket::available(util::Time now)
 {
     refill(now);
-    const int taken = std::min(wanted, static_cast<int>(std::floor(m_tokens + roundingTolerance)));
+    return static_cast<int>(std::floor(m_tokens + roundingTolerance));
+}
+
+int TokenBucket::take(int wanted, util::Time now, util::Time usableUntil, std::uint64_t grantId)
+{
+    const int taken = std::min(wanted, available(now));
     if (taken <= 0)
         return 0;
     m_tokens -= taken;
--- a/tarragonhaven/token_bucket.h
+++ b/tarragonhaven/token_bucket.h
@@ -36,6 +36,8 @@
     void settleGrant(std::uint64_t grantId, int returned, util::Time now);
 
     [[nodiscard]] double tokens() const { return m_tokens; }
+    // Refills the bucket and returns the number of whole tokens that take() could take now.
+    [[nodiscard]] int available(util::Time now);
     [[nodiscard]] int outstanding() const { return m_outstanding; }
     // Returns the time until the bucket holds a whole token, if no tokens are taken or returned before.
     [[nodiscard]] util::Duration untilNextToken(util::Time now);
