Send nothing to a target that has announced its stop in a response

What callers saw: requests sent to a target that was about to stop, up to 5.1 s after their node had passed on a response that said so (DRAIN allows 2 s).

Cause: only the store's record of a target stopped requests; nothing read the announcement. Ruled out: a lost announcement, since the attempt lines have targetLeaving from the first response on.

Change: the guard, which all requests pass, refuses what waits and what comes from that response on, and tells the entries; entries remember it by the target's start time, so neither a guard that restarts nor a directory that loses and lists the target again revokes it. A later start begins anew.

--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -255,7 +255,11 @@
     if (!health)
         return { nullptr, {}, "service not declared" };
     const auto now = util::BootClock::now();
-    const auto views = health->views(now);
+    auto views = health->views(now);
+    if (!m_notices.empty()) {
+        for (auto& view : views)
+            view.leaving = view.leaving || m_notices.find(*view.target).leaving;
+    }
     const auto distance = [this](const Target& target) { return distanceTo(target); };
     std::erase_if(m_avoided, [now](const auto& item) { return item.second <= now; });
     if (m_avoided.empty())
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -75,7 +75,7 @@
     const auto refusal = [](RefusalReason reason) {
         return Refusal { reason, RunState::NotRun, queueRetryAfter, "" };
     };
-    if (m_draining || m_target.leaving)
+    if (m_draining || isLeaving())
         return refusal(RefusalReason::Stopping);
     if (m_breaker && !context.bypassesBreaker && !m_breaker->admits(context.idempotent, now))
         return breakerRefusal();
@@ -251,7 +251,7 @@
     if (target.address != m_target.address)
         m_idleConnections.clear();
     m_target = target;
-    if (m_target.leaving)
+    if (isLeaving())
         return retire();
     m_queue.resize(target.slots);
     grantWaiting();
@@ -320,7 +320,12 @@
 
 void GuardedTarget::recordNotice(const TargetNotice& notice)
 {
-    m_announcedLeaving = m_announcedLeaving || notice.leaving;
+    if (notice.leaving && !std::exchange(m_announcedLeaving, true)) {
+        m_pushTrigger.recordChange();
+        refuseWaiting({ RefusalReason::Stopping, RunState::NotRun, queueRetryAfter,
+                          "the target has announced that it is leaving" },
+            true);
+    }
     if (notice.malformedLimit)
         return;
     m_limitKnown = true;
@@ -363,7 +368,8 @@
     m_report.slots = m_queue.slots();
     m_report.slotsInUse = m_queue.inUse();
     m_report.waiting = static_cast<int>(m_queue.waiting());
-    m_report.draining = m_draining || m_target.leaving;
+    m_report.draining = m_draining || isLeaving();
+    m_report.announcedLeaving = m_announcedLeaving;
     const auto now = util::BootClock::now();
     m_report.startTimeMs = m_target.startTimeMs;
     m_report.limitKnown = m_limitKnown;
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -58,7 +58,8 @@
     // result, once. `timeToFirstByte` is used for a success only.
     void recordSent(std::uint64_t ticket);
     void recordResult(std::uint64_t ticket, TargetResult result, util::Duration timeToFirstByte = {});
-    // Records what the target announced about itself in a response.
+    // Records what the target announced about itself in a response. An announced stop is final: a response
+    // without the announcement was written earlier.
     void recordNotice(const TargetNotice& notice);
     // Records that no connection could be made for a request with a slot.
     void recordConnectFailure();
@@ -77,6 +78,8 @@
     }
     // Returns whether the target has announced that it is about to stop.
     [[nodiscard]] bool announcedLeaving() const { return m_announcedLeaving; }
+    // Returns whether the target gets no new requests, because of the directory or its own announcement.
+    [[nodiscard]] bool isLeaving() const { return m_target.leaving || m_announcedLeaving; }
     // Returns the breaker's state if it differs from the state at the last call.
     std::optional<TargetBreaker::State> takeBreakerChange();
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
--- a/tarragonhaven/target_notices.cc
+++ b/tarragonhaven/target_notices.cc
@@ -5,7 +5,7 @@
 void TargetNotices::record(const TargetName& target, const TargetReport& report, util::Time now)
 {
     const auto known = m_entries.find(target);
-    if (known == m_entries.end() && !report.requestLimit)
+    if (known == m_entries.end() && !report.requestLimit && !report.announcedLeaving)
         return;
     auto& entry = known == m_entries.end() ? m_entries[target] : known->second;
     if (report.startTimeMs < entry.startTimeMs)
@@ -13,6 +13,7 @@
     if (report.startTimeMs > entry.startTimeMs)
         entry = { report.startTimeMs, {}, now };
     entry.reportedAt = now;
+    entry.notice.leaving = entry.notice.leaving || report.announcedLeaving;
     if (report.limitKnown || !entry.notice.requestsPerSecond)
         entry.notice.requestsPerSecond = report.requestLimit;
 }
--- a/tarragonhaven/target_report.h
+++ b/tarragonhaven/target_report.h
@@ -38,11 +38,13 @@
     // limit that the guard keeps, in requests per second, if any.
     bool limitKnown = false;
     std::optional<double> requestLimit;
+    // Whether the target has announced to this incarnation of the guard that it is about to stop.
+    bool announcedLeaving = false;
     // Milliseconds until the limit admits one more request after those that wait.
     std::int64_t limitedMs = 0;
     MSGPACK_DEFINE_ARRAY(incarnation, sequence, slots, slotsInUse, waiting, draining, successes, failures,
         overdue, logLatencySum, sinceSuccessMs, idempotentBlockedMs, nonIdempotentBlockedMs, startTimeMs,
-        limitKnown, requestLimit, limitedMs);
+        limitKnown, requestLimit, announcedLeaving, limitedMs);
 
     friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
--- a/tarragonhaven/testing/guard_test.cc
+++ b/tarragonhaven/testing/guard_test.cc
@@ -40,3 +40,17 @@
     REQUIRE(guard.find({ "t1" }));
     CHECK_FALSE(guard.find({ "t1" })->requestLimit());
 }
+
+TEST_CASE("a guard sends nothing to a target that announced its stop and that the directory lists again")
+{
+    boost::asio::io_context io;
+    Guard guard(io, { "i1" }, 1);
+    guard.apply(directoryWith({ makeTarget(100) }));
+    guard.find({ "t1" })->recordNotice({ std::nullopt, false, true });
+    guard.apply(directoryWith({}));
+    guard.apply(directoryWith({ makeTarget(100) }));
+    REQUIRE(guard.find({ "t1" }));
+    CHECK(guard.find({ "t1" })->isLeaving());
+    guard.apply(directoryWith({ makeTarget(200) }));
+    CHECK_FALSE(guard.find({ "t1" })->isLeaving());
+}
--- a/tarragonhaven/testing/guarded_target_test.cc
+++ b/tarragonhaven/testing/guarded_target_test.cc
@@ -187,3 +187,26 @@
     target.guarded.recordNotice({ std::nullopt, true, false });
     CHECK(target.guarded.requestLimit() == 3.0);
 }
+
+// Guards against requests to a target that has announced in a response that it is about to stop, while the
+// store that would say so is away.
+TEST_CASE("a target that announces that it is leaving gets no further requests")
+{
+    SingleSlotTarget target;
+    REQUIRE(target.acquireSlot(SingleSlotTarget::request(std::chrono::seconds(5))));
+    CHECK_FALSE(target.acquireSlot(SingleSlotTarget::request(std::chrono::seconds(5))));
+    target.guarded.recordNotice({ std::nullopt, false, true });
+    const auto waiting = target.latestOutcome();
+    REQUIRE(waiting);
+    REQUIRE_FALSE(*waiting);
+    CHECK(waiting->error().reason == RefusalReason::Stopping);
+    CHECK(waiting->error().run == RunState::NotRun);
+    // Neither a response that was written before the announcement nor the directory revokes it.
+    target.guarded.recordNotice({});
+    target.guarded.update(SingleSlotTarget::makeTarget());
+    const auto late = target.acquireSlot(SingleSlotTarget::request(std::chrono::seconds(5)));
+    REQUIRE(late);
+    REQUIRE_FALSE(*late);
+    CHECK(late->error().reason == RefusalReason::Stopping);
+    CHECK(target.guarded.report().draining);
+}
--- a/tarragonhaven/testing/target_notices_test.cc
+++ b/tarragonhaven/testing/target_notices_test.cc
@@ -60,3 +60,20 @@
         CHECK_FALSE(notices.find(target(100)).requestsPerSecond);
     }
 }
+
+TEST_CASE("an announced stop of a target holds after a restart of its guard, until a later start")
+{
+    TargetNotices notices;
+    CHECK(notices.empty());
+    auto leaving = report(100, true, std::nullopt);
+    leaving.announcedLeaving = true;
+    notices.record({ "t" }, leaving, start);
+    CHECK(notices.find(target(100)).leaving);
+    notices.record({ "t" }, report(100, false, std::nullopt), start);
+    notices.record({ "t" }, report(100, true, std::nullopt), start);
+    CHECK(notices.find(target(100)).leaving);
+    notices.record({ "t" }, report(200, true, std::nullopt), start);
+    CHECK_FALSE(notices.find(target(200)).leaving);
+    notices.record({ "t" }, leaving, start);
+    CHECK_FALSE(notices.find(target(200)).leaving);
+}
