Tell a guard that its target is leaving when the store does not answer it

What callers saw: none saw a failure; requests reached targets 2,004 to 2,475 ms after the store had acknowledged that they leave (DRAIN allows 2,000).

Cause: nodes learn of targets from the store alone. While the store answers only a part of the nodes, a guard and entries among the others keep using a target that the rest know to be leaving.

Ruled out: entries that get round a guard that knows, and requests that had waited in the guard's queue.

Change: nodes whose directory shows that a target has ceased to serve, or serves again, tell its guard, with the revision that they have read up to. The guard follows the newest message until its own directory is as new. Eight nodes in rendezvous order send, so a target that leaves costs eight datagrams.

The new case of guard_test cannot be built on the code before, which has no such message.

--- a/tarragonhaven/control_core.h
+++ b/tarragonhaven/control_core.h
@@ -122,6 +122,7 @@
     void handle(const Endpoint&, const ControlEnvelope&, const QuotaReportMessage&) { }
     void handle(const Endpoint&, const ControlEnvelope&, const RemoteQuotaUsageMessage&) { }
     void handle(const Endpoint&, const ControlEnvelope&, const QuotaQueryMessage&) { }
+    void handle(const Endpoint&, const ControlEnvelope&, const TargetStateMessage&) { }
 
     void handleRequest(std::monostate) { }
     void handleRequest(const FetchTokensRequest& request);
--- a/tarragonhaven/control_message.h
+++ b/tarragonhaven/control_message.h
@@ -178,6 +178,18 @@
     friend bool operator==(const TargetReportMessage&, const TargetReportMessage&) = default;
 };
 
+// A node that reads the store reports to the guard of a target that the target has ceased to serve, or serves
+// again, as of a revision of the store. The guard may be cut off from the store.
+struct TargetStateMessage {
+    std::string target;
+    std::int64_t startTimeMs = 0;
+    bool serving = false;
+    Revision asOf = 0;
+    MSGPACK_DEFINE_ARRAY(target, startTimeMs, serving, asOf);
+
+    friend bool operator==(const TargetStateMessage&, const TargetStateMessage&) = default;
+};
+
 // A node reports what it has admitted, for limits of one QuotaKind.
 struct QuotaReportMessage {
     int kind = 0;
@@ -207,7 +219,8 @@
 
 using ControlMessage = std::variant<PingMessage, PongMessage, TokenRequestMessage, TokenGrantMessage,
     TokenReturnMessage, IdempotencyBeginMessage, IdempotencyEndMessage, IdempotencyVerdictMessage,
-    LeavingMessage, TargetReportMessage, QuotaReportMessage, RemoteQuotaUsageMessage, QuotaQueryMessage>;
+    LeavingMessage, TargetReportMessage, QuotaReportMessage, RemoteQuotaUsageMessage, QuotaQueryMessage,
+    TargetStateMessage>;
 
 // A message together with its sender and the sender's fleet.
 struct ControlEnvelope {
--- a/tarragonhaven/directory.cc
+++ b/tarragonhaven/directory.cc
@@ -2,8 +2,9 @@
 
 namespace tarragonhaven {
 
-Directory::Directory(TargetsByService targets, std::uint16_t peerPort)
+Directory::Directory(TargetsByService targets, std::uint16_t peerPort, Revision asOf)
     : m_targets(std::move(targets))
+    , m_asOf(asOf)
 {
     for (const auto& [service, list] : m_targets) {
         for (const auto& target : list) {
--- a/tarragonhaven/directory.h
+++ b/tarragonhaven/directory.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/configuration.h"
 #include "tarragonhaven/instance.h"
+#include "tarragonhaven/revision.h"
 #include "tarragonhaven/target.h"
 
 #include <cstdint>
@@ -19,8 +20,8 @@
 
     Directory() = default;
     // Derives the instances from `targets`. `peerPort` is the port at which the node of each instance accepts
-    // links from other nodes.
-    Directory(TargetsByService targets, std::uint16_t peerPort);
+    // links from other nodes, and `asOf` the revision of the source up to which the targets are complete.
+    Directory(TargetsByService targets, std::uint16_t peerPort, Revision asOf = 0);
     // Returns the targets and instances that a configuration declares.
     static std::shared_ptr<const Directory> fromConfiguration(const Configuration& configuration);
 
@@ -30,10 +31,13 @@
     [[nodiscard]] const Instance* instance(const InstanceName& name) const;
     [[nodiscard]] const TargetsByService& targets() const { return m_targets; }
     [[nodiscard]] const std::map<InstanceName, Instance>& instances() const { return m_instances; }
+    // Returns the revision of the source up to which the directory is complete; 0 if it has no source.
+    [[nodiscard]] Revision asOf() const { return m_asOf; }
 
 private:
     TargetsByService m_targets;
     std::map<InstanceName, Instance> m_instances;
+    Revision m_asOf = 0;
 };
 
 using DirectoryPointer = std::shared_ptr<const Directory>;
--- /dev/null
+++ b/tarragonhaven/directory_diff.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "tarragonhaven/directory.h"
+#include "tarragonhaven/target.h"
+
+#include <compare>
+#include <vector>
+
+namespace tarragonhaven {
+
+// A target that has begun to serve or has ceased to, because it is leaving or is no longer listed.
+struct TargetStateChange {
+    Target target;
+    bool serving = false;
+
+    friend auto operator<=>(const TargetStateChange&, const TargetStateChange&) = default;
+    friend bool operator==(const TargetStateChange&, const TargetStateChange&) = default;
+};
+
+// Returns the targets that serve in one of the directories only. A start of a target that `before` does not
+// list at all is not returned: its guard lists it first. A target that has restarted counts as another one.
+std::vector<TargetStateChange> changedTargetStates(const Directory& before, const Directory& after);
+
+} // namespace tarragonhaven
--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -88,7 +88,7 @@
         [](const auto& item) { return item.second.removeAt.has_value(); });
 }
 
-DirectoryPointer DirectoryTracker::takeIfChanged()
+DirectoryPointer DirectoryTracker::takeIfChanged(Revision asOf)
 {
     if (!m_changed)
         return nullptr;
@@ -109,7 +109,7 @@
         target.leaving = target.leaving || newestAtAddress[target.address] != &entry;
         targets[entry.record.service].push_back(std::move(target));
     }
-    return std::make_shared<const Directory>(std::move(targets), m_options.peerPort);
+    return std::make_shared<const Directory>(std::move(targets), m_options.peerPort, asOf);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/directory_tracker.h
+++ b/tarragonhaven/directory_tracker.h
@@ -50,8 +50,11 @@
 
     // Returns whether a target without a record is kept for its grace period.
     [[nodiscard]] bool hasPendingRemovals() const;
-    // Returns the directory, or null if it has not changed since the last call.
-    DirectoryPointer takeIfChanged();
+    // Makes the next takeIfChanged() return the directory even if it has not changed.
+    void markChanged() { m_changed = true; }
+    // Returns the directory, or null if it has not changed since the last call. `asOf` is the revision up to
+    // which all changes were applied.
+    DirectoryPointer takeIfChanged(Revision asOf = 0);
 
 private:
     struct Entry {
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -158,9 +158,12 @@
     void onResponse(Revision asOf)
     {
         m_counters.recordResponse(asOf);
-        if (!std::exchange(m_reachable, true))
-            m_log.write(LogLevel::Info, "dependency",
-                { { "name", "store" }, { "event", "reached" }, { "asOf", m_asOf } });
+        if (std::exchange(m_reachable, true))
+            return;
+        m_log.write(LogLevel::Info, "dependency",
+            { { "name", "store" }, { "event", "reached" }, { "asOf", m_asOf } });
+        // Shows that the directory is up to date again, even if it is the same as before.
+        m_tracker.markChanged();
     }
 
     void apply(const DeclaredDocument& document)
@@ -204,7 +207,7 @@
     void publishDirectory()
     {
         m_tracker.advance(util::BootClock::now());
-        const auto changed = m_tracker.takeIfChanged();
+        const auto changed = m_tracker.takeIfChanged(m_asOf);
         if (changed) {
             logDirectory(*changed);
             m_events.push(DirectoryChanged { changed });
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -36,6 +36,7 @@
 void Guard::apply(const Directory& directory)
 {
     const auto now = util::BootClock::now();
+    m_directoryAsOf = directory.asOf();
     std::erase_if(
         m_unlisted, [now](const auto& item) { return now - item.second.since > unlistedRetention; });
     auto previous = std::exchange(m_targets, {});
@@ -45,7 +46,7 @@
                 continue;
             auto guarded = takeKnown(target, previous);
             if (guarded)
-                guarded->update(target);
+                guarded->update(target, m_directoryAsOf);
             else
                 guarded = std::make_shared<GuardedTarget>(m_io, target, m_incarnation, m_options);
             m_targets.emplace(target.name, std::move(guarded));
@@ -60,6 +61,13 @@
         drain();
 }
 
+void Guard::recordPeerState(const TargetStateMessage& message)
+{
+    const auto target = find({ message.target });
+    if (target && target->target().startTimeMs == message.startTimeMs && message.asOf > m_directoryAsOf)
+        target->recordPeerState({ message.serving, message.asOf });
+}
+
 std::shared_ptr<GuardedTarget> Guard::find(const TargetName& name) const
 {
     const auto found = m_targets.find(name);
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/control_message.h"
 #include "tarragonhaven/directory.h"
 #include "tarragonhaven/guarded_target.h"
 
@@ -22,6 +23,8 @@
     // same start of it is listed again, what it has announced still holds. A target that restarted under the
     // same name begins without evidence, without announcements and without connections.
     void apply(const Directory& directory);
+    // Records what a peer reports about a target, unless the directory is newer.
+    void recordPeerState(const TargetStateMessage& message);
     // Returns the target, or null if this node does not guard it.
     [[nodiscard]] std::shared_ptr<GuardedTarget> find(const TargetName& name) const;
     // A report on a target, and the entry nodes to which it must be sent.
@@ -65,6 +68,7 @@
     std::uint64_t m_incarnation;
     GuardOptions m_options;
     bool m_draining = false;
+    Revision m_directoryAsOf = 0;
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
     struct UnlistedTarget {
         std::shared_ptr<GuardedTarget> guarded;
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -213,8 +213,22 @@
 void GuardedTarget::retire()
 {
     m_target.leaving = true;
-    refuseWaiting(
-        { RefusalReason::Stopping, RunState::NotRun, queueRetryAfter, "the target is leaving" }, true);
+    refuseWaitingBecauseLeaving("the target is leaving");
+}
+
+void GuardedTarget::refuseWaitingBecauseLeaving(const std::string& detail)
+{
+    refuseWaiting({ RefusalReason::Stopping, RunState::NotRun, queueRetryAfter, detail }, true);
+}
+
+void GuardedTarget::recordPeerState(PeerState state)
+{
+    if (m_peerState && m_peerState->asOf >= state.asOf)
+        return;
+    m_peerState = state;
+    m_pushTrigger.recordChange();
+    if (!state.serving)
+        refuseWaitingBecauseLeaving("another node has read that the target is leaving");
 }
 
 std::vector<InstanceName> GuardedTarget::entriesToNotify()
@@ -246,13 +260,15 @@
 
 void GuardedTarget::drain() { m_draining = true; }
 
-void GuardedTarget::update(const Target& target)
+void GuardedTarget::update(const Target& target, Revision directoryAsOf)
 {
+    if (m_peerState && directoryAsOf >= m_peerState->asOf)
+        m_peerState.reset();
     if (target.address != m_target.address)
         m_idleConnections.clear();
     m_target = target;
     if (isLeaving())
-        return retire();
+        return refuseWaitingBecauseLeaving("the target is leaving");
     m_queue.resize(target.slots);
     grantWaiting();
 }
@@ -322,9 +338,7 @@
 {
     if (notice.leaving && !std::exchange(m_announcedLeaving, true)) {
         m_pushTrigger.recordChange();
-        refuseWaiting({ RefusalReason::Stopping, RunState::NotRun, queueRetryAfter,
-                          "the target has announced that it is leaving" },
-            true);
+        refuseWaitingBecauseLeaving("the target has announced that it is leaving");
     }
     if (notice.malformedLimit)
         return;
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -5,6 +5,7 @@
 #include "tarragonhaven/report_push_trigger.h"
 #include "tarragonhaven/request_context.h"
 #include "tarragonhaven/request_pacer.h"
+#include "tarragonhaven/revision.h"
 #include "tarragonhaven/slot_queue.h"
 #include "tarragonhaven/target.h"
 #include "tarragonhaven/target_breaker.h"
@@ -43,9 +44,17 @@
     std::vector<InstanceName> entriesToNotify();
     // Refuses new requests from now on, because the instance is stopping.
     void drain();
-    // Applies changed settings of the same target. A target that is leaving gets no new requests: waiting
-    // requests are refused, running ones finish.
-    void update(const Target& target);
+    // Applies the directory's record of the same target, as of a revision. Drops what peers have reported up
+    // to that revision. A target that is leaving gets no new requests: waiting requests are refused, running
+    // ones finish.
+    void update(const Target& target, Revision directoryAsOf = 0);
+    // What a peer read from the store about the target, as of a revision.
+    struct PeerState {
+        bool serving = true;
+        Revision asOf = 0;
+    };
+    // Applies what a peer reports, unless an earlier report is as new.
+    void recordPeerState(PeerState state);
     // Handles the removal of the target from the directory in the same way as a target that is leaving.
     void retire();
 
@@ -78,8 +87,12 @@
     }
     // Returns whether the target has announced that it is about to stop.
     [[nodiscard]] bool announcedLeaving() const { return m_announcedLeaving; }
-    // Returns whether the target gets no new requests, because of the directory or its own announcement.
-    [[nodiscard]] bool isLeaving() const { return m_target.leaving || m_announcedLeaving; }
+    // Returns whether the target gets no new requests, because of the directory, its own announcement or a
+    // report of a peer.
+    [[nodiscard]] bool isLeaving() const
+    {
+        return m_target.leaving || m_announcedLeaving || (m_peerState && !m_peerState->serving);
+    }
     // Returns the breaker's state if it differs from the state at the last call.
     std::optional<TargetBreaker::State> takeBreakerChange();
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
@@ -114,6 +127,7 @@
     void recordBreakerResult(TargetResult result, bool probe);
     // If the breaker is open, refuses the waiting requests that do not bypass it.
     void refuseWaitingWhenOpen();
+    void refuseWaitingBecauseLeaving(const std::string& detail);
     // Refuses all waiting requests; without `includeBypassing`, spares those that bypass the breaker.
     void refuseWaiting(const Refusal& refusal, bool includeBypassing);
 
@@ -130,6 +144,7 @@
     bool m_announcedLeaving = false;
     // Moving average of the time for which requests hold a slot; zero until the first request has ended.
     util::Duration m_averageHoldTime {};
+    std::optional<PeerState> m_peerState;
     std::optional<TargetBreaker> m_breaker;
     TargetBreaker::State m_lastReportedBreakerState = TargetBreaker::State::Closed;
     std::vector<std::unique_ptr<TargetConnection>> m_idleConnections;
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -1,5 +1,8 @@
 #include "tarragonhaven/sidecar_traffic.h"
 
+#include "tarragonhaven/directory_diff.h"
+#include "tarragonhaven/rendezvous.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -25,6 +28,9 @@
     // How long callers are served after a stop begins. Callers notice the stop after two failed readiness
     // checks one second apart.
     constexpr util::Duration servingTimeAfterStop = std::chrono::milliseconds(2600);
+    // The number of nodes that report a target which has ceased to serve to its guard. Several, because a
+    // part of them may be cut off from the store or the guard.
+    constexpr std::size_t targetStateReporters = 8;
     // The part of the grace period that is kept for closing connections.
     constexpr util::Duration stopMargin = std::chrono::milliseconds(400);
 
@@ -140,8 +146,11 @@
 {
     if (auto* accepted = std::get_if<DeclarationsAccepted>(&event))
         m_configuration = std::move(accepted->configuration);
-    if (auto* changed = std::get_if<DirectoryChanged>(&event))
-        m_directory = std::move(changed->directory);
+    if (auto* changed = std::get_if<DirectoryChanged>(&event)) {
+        const auto before = std::exchange(m_directory, std::move(changed->directory));
+        if (before)
+            sendTargetStates(*before, *m_directory);
+    }
     applyConfigurationAndDirectory();
 }
 
@@ -156,6 +165,28 @@
     m_dependencies.state.ready.store(ready && !m_stopping);
 }
 
+// Only a few nodes report each change, chosen by rendezvous hashing, since the others have read the same.
+void SidecarTraffic::sendTargetStates(const Directory& before, const Directory& after)
+{
+    const auto changes = changedTargetStates(before, after);
+    if (changes.empty())
+        return;
+    std::vector<std::string> nodes;
+    for (const auto& [name, instance] : after.instances())
+        nodes.push_back(name.text);
+    for (const auto& [target, serving] : changes) {
+        const auto order = rendezvousOrder(target.name.text, nodes);
+        const auto end
+            = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), targetStateReporters));
+        if (std::find(order.begin(), end, m_dependencies.settings.instance.text) == end)
+            continue;
+        const auto* guard = before.instance(target.instance);
+        if (guard && target.instance != m_dependencies.settings.instance)
+            m_socket.send(guard->peerAddress,
+                TargetStateMessage { target.name.text, target.startTimeMs, serving, after.asOf() });
+    }
+}
+
 void SidecarTraffic::handleDatagram(const Endpoint& source, const ControlEnvelope& envelope)
 {
     if (const auto* report = std::get_if<QuotaReportMessage>(&envelope.message))
@@ -164,10 +195,20 @@
         m_admission.receive(envelope.from, *remoteUsage);
     if (const auto* query = std::get_if<QuotaQueryMessage>(&envelope.message))
         m_admission.receive(source, *query);
+    if (const auto* state = std::get_if<TargetStateMessage>(&envelope.message))
+        recordPeerState(envelope.from, *state);
     if (const auto* targetReport = std::get_if<TargetReportMessage>(&envelope.message))
         m_entry.recordReport({ targetReport->target }, targetReport->report);
 }
 
+void SidecarTraffic::recordPeerState(const InstanceName& from, const TargetStateMessage& state)
+{
+    m_guard.recordPeerState(state);
+    m_dependencies.log.write(LogLevel::Info, "directory",
+        { { "event", "peer-state" }, { "from", from.text }, { "target", state.target },
+            { "serving", state.serving }, { "asOf", state.asOf } });
+}
+
 void SidecarTraffic::sendTargetReports()
 {
     for (const auto& notification : m_guard.tick()) {
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -58,6 +58,9 @@
     void handleEvent(DiscoveryEvent event);
     void handleDatagram(const Endpoint& source, const ControlEnvelope& envelope);
     void applyConfigurationAndDirectory();
+    // Reports targets that have ceased to serve, or serve again, to their guards.
+    void sendTargetStates(const Directory& before, const Directory& after);
+    void recordPeerState(const InstanceName& from, const TargetStateMessage& state);
     void sendTargetReports();
     void logBreakerChanges();
     void logAttempt(const AttemptRecord& attempt);
--- a/tarragonhaven/testing/guard_test.cc
+++ b/tarragonhaven/testing/guard_test.cc
@@ -8,11 +8,11 @@
 
 namespace {
 
-Directory directoryWith(std::vector<Target> targets)
+Directory directoryWith(std::vector<Target> targets, Revision asOf = 0)
 {
     Directory::TargetsByService services;
     services[{ "status" }] = std::move(targets);
-    return Directory(std::move(services), 7000);
+    return Directory(std::move(services), 7000, asOf);
 }
 
 Target makeTarget(std::int64_t startTimeMs)
@@ -54,3 +54,33 @@
     guard.apply(directoryWith({ makeTarget(200) }));
     CHECK_FALSE(guard.find({ "t1" })->isLeaving());
 }
+
+// Guards against requests to a leaving target through a guard that the store does not answer.
+TEST_CASE("a guard that is cut off from the store learns from peers that its target is leaving")
+{
+    boost::asio::io_context io;
+    Guard guard(io, { "i1" }, 1);
+    guard.apply(directoryWith({ makeTarget(100) }, 5));
+    const auto isLeaving = [&guard] { return guard.find({ "t1" })->isLeaving(); };
+    guard.recordPeerState({ "t1", 90, false, 9 });
+    guard.recordPeerState({ "other", 100, false, 9 });
+    guard.recordPeerState({ "t1", 100, false, 5 });
+    CHECK_FALSE(isLeaving());
+    guard.recordPeerState({ "t1", 100, false, 9 });
+    CHECK(isLeaving());
+    CHECK(guard.find({ "t1" })->report().draining);
+    SECTION("a later report says that it serves again, an earlier one changes nothing")
+    {
+        guard.recordPeerState({ "t1", 100, true, 8 });
+        CHECK(isLeaving());
+        guard.recordPeerState({ "t1", 100, true, 10 });
+        CHECK_FALSE(isLeaving());
+    }
+    SECTION("only a directory that is as new replaces the report")
+    {
+        guard.apply(directoryWith({ makeTarget(100) }, 8));
+        CHECK(isLeaving());
+        guard.apply(directoryWith({ makeTarget(100) }, 9));
+        CHECK_FALSE(isLeaving());
+    }
+}
