--- a/tarragonhaven/discovery_counters.h
+++ b/tarragonhaven/discovery_counters.h
@@ -24,6 +24,7 @@
     std::atomic<util::Duration::rep> lastResponseAt { 0 };
     // The revision of the store up to which all changes are known.
     std::atomic<Revision> asOf { 0 };
+    std::atomic<StoreEpoch> epoch { 0 };
     std::atomic<std::uint64_t> recordsRejected { 0 };
 
     void recordResponse(Revision revision)
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <random>
 #include <thread>
 #include <utility>
@@ -101,6 +102,7 @@
             if (!listing)
                 return onFailure(listing.error(), &DiscoveryWatcher::list);
             onResponse(listing->asOfRevision);
+            recordEpoch(listing->epoch);
             for (const auto& rejected : listing->rejected)
                 recordRejected(rejected);
             if (listing->declarations)
@@ -120,6 +122,7 @@
                     changes.error().kind == StoreFault::Kind::HistoryGone ? &DiscoveryWatcher::list
                                                                           : &DiscoveryWatcher::watch);
             onResponse(std::max(m_asOf, changes->asOfRevision));
+            recordEpoch(changes->epoch);
             for (const auto& change : changes->changes)
                 std::visit([this](const auto& item) { this->apply(item); }, change);
             m_asOf = std::max(m_asOf, changes->asOfRevision);
@@ -166,6 +169,16 @@
         m_tracker.markChanged();
     }
 
+    void recordEpoch(StoreEpoch epoch)
+    {
+        if (m_epoch && *m_epoch != epoch)
+            m_log.write(LogLevel::Warning, "dependency",
+                { { "name", "store" }, { "event", "restored" }, { "epoch", epoch }, { "before", *m_epoch },
+                    { "asOf", m_asOf } });
+        m_epoch = epoch;
+        m_counters.epoch.store(epoch, std::memory_order_relaxed);
+    }
+
     void apply(const DeclaredDocument& document)
     {
         if (!m_holder.shouldFetch(document.revision))
@@ -249,6 +262,8 @@
     boost::asio::steady_timer m_graceTimer;
     std::mt19937_64 m_random;
     Revision m_asOf = 0;
+    // Not set before the first response.
+    std::optional<StoreEpoch> m_epoch;
     bool m_reachable = false;
     std::thread m_thread;
 };
--- a/tarragonhaven/http_get.cc
+++ b/tarragonhaven/http_get.cc
@@ -73,6 +73,8 @@
             const std::string revision(message["Revision"]);
             if (!absl::SimpleAtoi(revision, &response.revision))
                 response.revision = 0;
+            for (const auto& field : message)
+                response.fields.push_back({ std::string(field.name_string()), std::string(field.value()) });
             response.body = std::move(message.body());
             m_handler(std::move(response));
         }
--- a/tarragonhaven/http_get.h
+++ b/tarragonhaven/http_get.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/message_head.h"
 #include "tarragonhaven/revision.h"
 #include "util/time.h"
 
@@ -8,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace tarragonhaven {
 
@@ -17,6 +19,7 @@
     // The value of the Revision field, or 0 if there is no valid one.
     Revision revision = 0;
     std::string body;
+    std::vector<HeaderField> fields;
 };
 
 // Timeouts of a read: for the whole read, for connecting, and for acknowledgements by the server. The last
--- a/tarragonhaven/record_store.h
+++ b/tarragonhaven/record_store.h
@@ -47,12 +47,14 @@
     std::vector<TargetRecord> targets;
     std::vector<RejectedRecord> rejected;
     Revision asOfRevision = 0;
+    StoreEpoch epoch = 0;
 };
 
 // The changes that a watch returned, complete up to `asOfRevision`.
 struct RecordChanges {
     std::vector<RecordChange> changes;
     Revision asOfRevision = 0;
+    StoreEpoch epoch = 0;
 };
 
 // The error of a failed read.
--- a/tarragonhaven/revision.h
+++ b/tarragonhaven/revision.h
@@ -8,4 +8,8 @@
 // index.
 using Revision = std::uint64_t;
 
+// The number of times that a store has been restored from a copy, as the store counts them. A restored store
+// gives out revisions again, so only revisions of one epoch can be compared. 0 if the store does not say.
+using StoreEpoch = std::uint64_t;
+
 } // namespace tarragonhaven
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -147,6 +147,8 @@
             discovery.reachable.load() ? 1 : 0);
         page.gauge("store_as_of", "Revision of the store up to which all changes are known.",
             static_cast<double>(discovery.asOf.load()));
+        page.gauge("store_epoch", "How often the store was restored from a copy, as its last response said.",
+            static_cast<double>(discovery.epoch.load()));
         const util::Time lastResponseAt { util::Duration(discovery.lastResponseAt.load()) };
         if (lastResponseAt != util::Time {})
             page.gauge("store_answer_age_seconds", "Time since the latest response of the store.",
