List the store again when it has been restored from a copy

What callers saw: a node that was cut off while the store was restored kept serving by an old version, and used targets that had left, until the next listing, which might never come (CONFIG, DRAIN).

Cause: the node continued its watch at its old revision. Once the restored store had given that revision out again it no longer answered with 410, and the node skipped what had been written below it.

The first watch after lost contact returns at once, since a waiting one would show the new epoch only with the next change, or after 10 s.

--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -22,8 +22,9 @@
 
 // The thread that reads declarations and target records from a store. It lists everything once and then
 // watches for changes; it lists everything again when the store no longer keeps the changes since the last
-// known revision. Declarations are accepted only as a whole, and only if they are newer than those in force.
-// Failed calls are retried after a random delay, and records that cannot be read are logged and counted.
+// known revision, or has been restored from a copy. Declarations are accepted only as a whole, and only if
+// they are newer than those in force. Failed calls are retried after a random delay, and records that cannot
+// be read are logged and counted.
 template <RecordStore Store> class DiscoveryWatcher {
 public:
     using EventRing = util::BoundedRing<DiscoveryEvent>;
@@ -116,13 +117,18 @@
 
     void watch()
     {
-        m_store.watch(m_asOf, maximumWatchWait, [this](tl::expected<RecordChanges, StoreFault> changes) {
+        // The first watch after lost contact returns at once, so that a restore of the store shows without
+        // delay.
+        const auto wait = m_reachable ? maximumWatchWait : util::Duration {};
+        m_store.watch(m_asOf, wait, [this](tl::expected<RecordChanges, StoreFault> changes) {
             if (!changes)
                 return onFailure(changes.error(),
                     changes.error().kind == StoreFault::Kind::HistoryGone ? &DiscoveryWatcher::list
                                                                           : &DiscoveryWatcher::watch);
             onResponse(std::max(m_asOf, changes->asOfRevision));
-            recordEpoch(changes->epoch);
+            // The changes are those of another history, in which this node has missed others.
+            if (recordEpoch(changes->epoch))
+                return scheduleAfter(util::Duration {}, minimumRetryDelay, &DiscoveryWatcher::list);
             for (const auto& change : changes->changes)
                 std::visit([this](const auto& item) { this->apply(item); }, change);
             m_asOf = std::max(m_asOf, changes->asOfRevision);
@@ -169,14 +175,17 @@
         m_tracker.markChanged();
     }
 
-    void recordEpoch(StoreEpoch epoch)
+    // Records the epoch of a response. Returns whether the store has been restored since the last one.
+    bool recordEpoch(StoreEpoch epoch)
     {
-        if (m_epoch && *m_epoch != epoch)
-            m_log.write(LogLevel::Warning, "dependency",
-                { { "name", "store" }, { "event", "restored" }, { "epoch", epoch }, { "before", *m_epoch },
-                    { "asOf", m_asOf } });
-        m_epoch = epoch;
         m_counters.epoch.store(epoch, std::memory_order_relaxed);
+        const auto before = std::exchange(m_epoch, epoch);
+        if (!before || *before == epoch)
+            return false;
+        m_log.write(LogLevel::Warning, "dependency",
+            { { "name", "store" }, { "event", "restored" }, { "epoch", epoch }, { "before", *before },
+                { "asOf", m_asOf } });
+        return true;
     }
 
     void apply(const DeclaredDocument& document)
