Apply what a restored store writes at lower revisions

What callers saw: a target that left after a restore of the store stayed in use (DRAIN), since the record and its removal had lower revisions than the record that the node knew.

Cause: the tracker of the directory compares revisions of both histories.

Change: with a new epoch of the store, what the tracker knows counts as older than anything that it reads from then on. Start times and sequence numbers still decide between the states of a target, so the copy's earlier states are ignored, and targets that the copy lacks get the grace period of an outage.

--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -73,6 +73,13 @@
     m_hasListing = true;
 }
 
+void DirectoryTracker::beginEpoch(util::Time now)
+{
+    for (auto& [name, entry] : m_entries)
+        entry.record.revision = 0;
+    onSourceLost(now);
+}
+
 void DirectoryTracker::advance(util::Time now)
 {
     const auto removed = std::erase_if(m_entries, [now](const auto& item) {
--- a/tarragonhaven/directory_tracker.h
+++ b/tarragonhaven/directory_tracker.h
@@ -43,6 +43,10 @@
     void onRemoved(const TargetName& name, Revision revision, util::Time now);
     // Applies a complete list of the records as of revision `asOf` and removes the targets that it lacks.
     void onListing(const std::vector<TargetRecord>& records, Revision asOf, util::Time now);
+    // Begins an epoch: the source was restored from a copy and gives revisions out again, so what was known
+    // before counts as older than any record and removal from now on. Records of an earlier start or state of
+    // a target are still ignored. Targets that the copy lacks get a grace period, as after an outage.
+    void beginEpoch(util::Time now);
     // Records that the source is unreachable at `now`.
     void onSourceLost(util::Time now) { m_sourceLostAt = now; }
     // Removes the targets whose records were still missing at the end of the grace period.
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -185,6 +185,7 @@
         m_log.write(LogLevel::Warning, "dependency",
             { { "name", "store" }, { "event", "restored" }, { "epoch", epoch }, { "before", *before },
                 { "asOf", m_asOf } });
+        m_tracker.beginEpoch(util::BootClock::now());
         return true;
     }
 
--- a/tarragonhaven/testing/directory_tracker_test.cc
+++ b/tarragonhaven/testing/directory_tracker_test.cc
@@ -103,6 +103,33 @@
     CHECK_FALSE(tracker.hasPendingRemovals());
 }
 
+TEST_CASE("DirectoryTracker applies records and removals at lower revisions after a restore of the source")
+{
+    DirectoryTracker tracker({ .peerPort = 7000 });
+    tracker.onListing(
+        { record("a", 20), record("b", 21, 100, 3, "10.0.0.2"), record("c", 22, 100, 1, "10.0.0.3") }, 22,
+        at(0));
+    tracker.takeIfChanged();
+    tracker.beginEpoch(at(1000));
+    // The copy has an earlier state of "b" and lacks "c", which registers again.
+    tracker.onListing({ record("a", 5), record("b", 4, 100, 2, "10.0.0.2") }, 9, at(1000));
+    auto directory = tracker.takeIfChanged();
+    CHECK(directory == nullptr);
+    tracker.onRecord(leaving(record("b", 10, 100, 4, "10.0.0.2")), at(1100));
+    tracker.onRecord(record("c", 11, 100, 1, "10.0.0.3"), at(1200));
+    directory = tracker.takeIfChanged();
+    REQUIRE(directory);
+    CHECK(find(directory, "b")->leaving);
+    CHECK(find(directory, "c"));
+    tracker.onRemoved({ "a" }, 12, at(4000));
+    directory = tracker.takeIfChanged();
+    REQUIRE(directory);
+    CHECK(find(directory, "a") == nullptr);
+    CHECK(find(directory, "c"));
+    tracker.advance(at(5000));
+    CHECK(tracker.takeIfChanged() == nullptr);
+}
+
 TEST_CASE("DirectoryTracker yields the newest record of each target for shuffled records")
 {
     for (unsigned seed = 1; seed <= 200; ++seed) {
