Do not use a removed target that a restored store lists from its copy

What callers saw: after a restore of the store, requests were sent to targets that had left before it (DRAIN); they failed, or met another service at the address and were answered with 421.

Cause: a listing of the copy was taken as if each of its records had been written after everything that the node knew.

Change: the tracker remembers removed targets for two minutes. A record of the same start that a restored store lists is used only if the target writes it again, or if it is still listed 5 s after the restore; by then the record of a target that does not live has lapsed.

--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -1,6 +1,7 @@
 #include "tarragonhaven/directory_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 
@@ -33,12 +34,13 @@
         return;
     }
     const bool sameState = known && entry.record.target == record.target
-        && entry.record.service == record.service && !entry.removeAt;
+        && entry.record.service == record.service && !entry.removeAt && !entry.usedFrom;
     m_changed = m_changed || !sameState;
     entry.record = record;
     entry.slowStartUntil
         = record.slowStartRemaining > util::Duration {} ? now + record.slowStartRemaining : util::Time {};
     entry.removeAt.reset();
+    entry.usedFrom.reset();
 }
 
 void DirectoryTracker::onRemoved(const TargetName& name, Revision revision, util::Time now)
@@ -51,16 +53,30 @@
             found->second.removeAt = *m_sourceLostAt + m_options.outageGrace;
         return;
     }
+    m_removed[name] = { found->second.record.target.startTimeMs, now };
     m_entries.erase(found);
     m_changed = true;
 }
 
+bool DirectoryTracker::isRestored(const TargetRecord& record, util::Time now) const
+{
+    const auto removed = m_removed.find(record.target.name);
+    return m_epochBeganAt && now < *m_epochBeganAt + m_options.restoredRecordDelay
+        && removed != m_removed.end() && removed->second.at <= *m_epochBeganAt
+        && record.target.startTimeMs <= removed->second.startTimeMs
+        && !m_entries.contains(record.target.name);
+}
+
 void DirectoryTracker::onListing(const std::vector<TargetRecord>& records, Revision asOf, util::Time now)
 {
     std::set<TargetName> listed;
     for (const auto& record : records) {
         listed.insert(record.target.name);
-        onRecord(record, now);
+        if (isRestored(record, now))
+            m_entries[record.target.name]
+                = { record, {}, std::nullopt, *m_epochBeganAt + m_options.restoredRecordDelay };
+        else
+            onRecord(record, now);
     }
     std::vector<TargetName> missing;
     for (const auto& [name, entry] : m_entries) {
@@ -77,22 +93,31 @@
 {
     for (auto& [name, entry] : m_entries)
         entry.record.revision = 0;
+    m_epochBeganAt = now;
     onSourceLost(now);
 }
 
 void DirectoryTracker::advance(util::Time now)
 {
-    const auto removed = std::erase_if(m_entries, [now](const auto& item) {
-        const auto& removeAt = item.second.removeAt;
-        return removeAt && now >= *removeAt;
-    });
-    m_changed = m_changed || removed > 0;
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        auto& [record, slowStartUntil, removeAt, usedFrom] = entry->second;
+        const bool removed = removeAt && now >= *removeAt;
+        const bool used = usedFrom && now >= *usedFrom;
+        m_changed = m_changed || removed || used;
+        if (used)
+            usedFrom.reset();
+        if (removed)
+            m_removed[entry->first] = { record.target.startTimeMs, now };
+        entry = removed ? m_entries.erase(entry) : std::next(entry);
+    }
+    std::erase_if(m_removed,
+        [this, now](const auto& item) { return now - item.second.at > m_options.removedRetention; });
 }
 
-bool DirectoryTracker::hasPendingRemovals() const
+bool DirectoryTracker::hasPendingChanges() const
 {
     return std::any_of(m_entries.begin(), m_entries.end(),
-        [](const auto& item) { return item.second.removeAt.has_value(); });
+        [](const auto& item) { return item.second.removeAt || item.second.usedFrom; });
 }
 
 DirectoryPointer DirectoryTracker::takeIfChanged(Revision asOf)
@@ -102,6 +127,8 @@
     m_changed = false;
     std::map<Endpoint, const Entry*> newestAtAddress;
     for (const auto& [name, entry] : m_entries) {
+        if (entry.usedFrom)
+            continue;
         auto& newest = newestAtAddress[entry.record.target.address];
         const auto order = [](const Entry& candidate) {
             return std::make_tuple(candidate.record.target.startTimeMs, candidate.record.revision);
@@ -111,6 +138,8 @@
     }
     Directory::TargetsByService targets;
     for (const auto& [name, entry] : m_entries) {
+        if (entry.usedFrom)
+            continue;
         auto target = entry.record.target;
         target.slowStartUntil = entry.slowStartUntil;
         target.leaving = target.leaving || newestAtAddress[target.address] != &entry;
--- a/tarragonhaven/directory_tracker.h
+++ b/tarragonhaven/directory_tracker.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/target_record.h"
 #include "util/time.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -14,6 +15,12 @@
     // For this long after the source was last found unreachable, targets whose records are missing are kept,
     // because targets could not renew their records during the outage and may register again.
     util::Duration outageGrace = std::chrono::milliseconds(2200);
+    // For this long after a restore of the source, targets that had been removed and that the copy lists
+    // again are not used. A record of a target that does not live is removed again within this time.
+    util::Duration restoredRecordDelay = std::chrono::seconds(5);
+    // How long the tracker remembers removed targets. Longer than a copy from which a source is restored is
+    // old.
+    util::Duration removedRetention = std::chrono::minutes(2);
     // The port at which the nodes of the targets' instances accept links from other nodes.
     std::uint16_t peerPort = 0;
 };
@@ -49,11 +56,13 @@
     void beginEpoch(util::Time now);
     // Records that the source is unreachable at `now`.
     void onSourceLost(util::Time now) { m_sourceLostAt = now; }
-    // Removes the targets whose records were still missing at the end of the grace period.
+    // Removes the targets whose records were still missing at the end of the grace period, and uses those
+    // that a restored source still lists after the delay.
     void advance(util::Time now);
 
-    // Returns whether a target without a record is kept for its grace period.
-    [[nodiscard]] bool hasPendingRemovals() const;
+    // Returns whether advance() has something to do later: a target without a record is kept for its grace
+    // period, or a restored record is not used yet.
+    [[nodiscard]] bool hasPendingChanges() const;
     // Makes the next takeIfChanged() return the directory even if it has not changed.
     void markChanged() { m_changed = true; }
     // Returns the directory, or null if it has not changed since the last call. `asOf` is the revision up to
@@ -66,13 +75,23 @@
         util::Time slowStartUntil {};
         // The time at which the target is removed; set only while its record is missing.
         std::optional<util::Time> removeAt;
+        // The time from which the target is used; set only for a record that a copy has brought back.
+        std::optional<util::Time> usedFrom;
+    };
+    struct RemovedTarget {
+        std::int64_t startTimeMs = 0;
+        util::Time at {};
     };
 
     [[nodiscard]] bool inOutageGrace(util::Time now) const;
+    // Returns whether the listed record is one of a target that was removed before the source was restored.
+    [[nodiscard]] bool isRestored(const TargetRecord& record, util::Time now) const;
 
     DirectoryOptions m_options;
     std::map<TargetName, Entry> m_entries;
+    std::map<TargetName, RemovedTarget> m_removed;
     std::optional<util::Time> m_sourceLostAt;
+    std::optional<util::Time> m_epochBeganAt;
     bool m_hasListing = false;
     bool m_changed = false;
 };
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -74,7 +74,7 @@
     // The pause between watches. Changes within this time are read in one call, because every call adds load
     // to the store. It is about a third of the 2 s within which a change has to be in force.
     static constexpr util::Duration batchDelay = std::chrono::milliseconds(650);
-    // How often targets whose records are missing are checked for the end of their grace period.
+    // How often targets whose records are missing or were restored are checked for the end of their delay.
     static constexpr util::Duration graceCheckInterval = std::chrono::milliseconds(200);
     // The delay before a failed call is retried.
     static constexpr util::Duration minimumRetryDelay = std::chrono::milliseconds(250);
@@ -235,7 +235,7 @@
             logDirectory(*changed);
             m_events.push(DirectoryChanged { changed });
         }
-        if (m_tracker.hasPendingRemovals())
+        if (m_tracker.hasPendingChanges())
             scheduleGraceCheck();
     }
 
--- a/tarragonhaven/testing/directory_tracker_test.cc
+++ b/tarragonhaven/testing/directory_tracker_test.cc
@@ -92,7 +92,7 @@
     tracker.takeIfChanged();
     tracker.onSourceLost(at(1000));
     tracker.onListing({}, 9, at(1500));
-    CHECK(tracker.hasPendingRemovals());
+    CHECK(tracker.hasPendingChanges());
     tracker.advance(at(1600));
     CHECK(tracker.takeIfChanged() == nullptr);
     tracker.onRecord(record("a", 10), at(2000));
@@ -100,7 +100,7 @@
     const auto directory = tracker.takeIfChanged();
     CHECK(find(directory, "a") != nullptr);
     CHECK(find(directory, "b") == nullptr);
-    CHECK_FALSE(tracker.hasPendingRemovals());
+    CHECK_FALSE(tracker.hasPendingChanges());
 }
 
 TEST_CASE("DirectoryTracker applies records and removals at lower revisions after a restore of the source")
@@ -130,6 +130,45 @@
     CHECK(tracker.takeIfChanged() == nullptr);
 }
 
+TEST_CASE("DirectoryTracker does not use a removed target that a copy of the source lists, until it lives")
+{
+    const auto removed = record("a", 3, 100, 2);
+    const auto later = record("a", 3, 200, 1);
+    DirectoryTracker tracker({ .peerPort = 7000 });
+    tracker.onListing({ removed }, 5, at(0));
+    tracker.onRemoved({ "a" }, 6, at(1000));
+    tracker.takeIfChanged();
+    tracker.beginEpoch(at(2000));
+    SECTION("the record of the copy is removed again")
+    {
+        tracker.onListing({ removed }, 5, at(2000));
+        CHECK(tracker.takeIfChanged() == nullptr);
+        CHECK(tracker.hasPendingChanges());
+        tracker.onRemoved({ "a" }, 6, at(5000));
+        tracker.advance(at(9000));
+        CHECK_FALSE(tracker.hasPendingChanges());
+        const auto directory = tracker.takeIfChanged();
+        CHECK((!directory || !find(directory, "a")));
+    }
+    SECTION("the target writes its record again")
+    {
+        tracker.onListing({ removed }, 5, at(2000));
+        tracker.onRecord(record("a", 7, 100, 3), at(2500));
+        CHECK(find(tracker.takeIfChanged(), "a"));
+    }
+    SECTION("the record is still there after the delay")
+    {
+        tracker.onListing({ removed }, 5, at(2000));
+        tracker.advance(at(7000));
+        CHECK(find(tracker.takeIfChanged(), "a"));
+    }
+    SECTION("a later start of the target is used at once")
+    {
+        tracker.onListing({ later }, 5, at(2000));
+        CHECK(find(tracker.takeIfChanged(), "a"));
+    }
+}
+
 TEST_CASE("DirectoryTracker yields the newest record of each target for shuffled records")
 {
     for (unsigned seed = 1; seed <= 200; ++seed) {
