Order what nodes tell each other about targets across restores of the store

A guard compared the revision in a peer's message with that of its directory. After a restore of the store a peer's message has a lower revision, so a guard that was cut off would have ignored that its target leaves, for as long as it stayed cut off.

Messages, directories and guards now use a position, the store's epoch before the revision. The new section of guard_test covers both directions; it cannot be built on the code before.

--- a/tarragonhaven/control_message.h
+++ b/tarragonhaven/control_message.h
@@ -179,12 +179,12 @@
 };
 
 // A node that reads the store reports to the guard of a target that the target has ceased to serve, or serves
-// again, as of a revision of the store. The guard may be cut off from the store.
+// again, as of a position in the store's history. The guard may be cut off from the store.
 struct TargetStateMessage {
     std::string target;
     std::int64_t startTimeMs = 0;
     bool serving = false;
-    Revision asOf = 0;
+    StorePosition asOf;
     MSGPACK_DEFINE_ARRAY(target, startTimeMs, serving, asOf);
 
     friend bool operator==(const TargetStateMessage&, const TargetStateMessage&) = default;
--- a/tarragonhaven/directory.cc
+++ b/tarragonhaven/directory.cc
@@ -2,7 +2,7 @@
 
 namespace tarragonhaven {
 
-Directory::Directory(TargetsByService targets, std::uint16_t peerPort, Revision asOf)
+Directory::Directory(TargetsByService targets, std::uint16_t peerPort, StorePosition asOf)
     : m_targets(std::move(targets))
     , m_asOf(asOf)
 {
--- a/tarragonhaven/directory.h
+++ b/tarragonhaven/directory.h
@@ -20,8 +20,8 @@
 
     Directory() = default;
     // Derives the instances from `targets`. `peerPort` is the port at which the node of each instance accepts
-    // links from other nodes, and `asOf` the revision of the source up to which the targets are complete.
-    Directory(TargetsByService targets, std::uint16_t peerPort, Revision asOf = 0);
+    // links from other nodes, and `asOf` the position in the source up to which the targets are complete.
+    Directory(TargetsByService targets, std::uint16_t peerPort, StorePosition asOf = {});
     // Returns the targets and instances that a configuration declares.
     static std::shared_ptr<const Directory> fromConfiguration(const Configuration& configuration);
 
@@ -31,13 +31,13 @@
     [[nodiscard]] const Instance* instance(const InstanceName& name) const;
     [[nodiscard]] const TargetsByService& targets() const { return m_targets; }
     [[nodiscard]] const std::map<InstanceName, Instance>& instances() const { return m_instances; }
-    // Returns the revision of the source up to which the directory is complete; 0 if it has no source.
-    [[nodiscard]] Revision asOf() const { return m_asOf; }
+    // Returns the position in the source up to which the directory is complete.
+    [[nodiscard]] const StorePosition& asOf() const { return m_asOf; }
 
 private:
     TargetsByService m_targets;
     std::map<InstanceName, Instance> m_instances;
-    Revision m_asOf = 0;
+    StorePosition m_asOf;
 };
 
 using DirectoryPointer = std::shared_ptr<const Directory>;
--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -120,7 +120,7 @@
         [](const auto& item) { return item.second.removeAt || item.second.usedFrom; });
 }
 
-DirectoryPointer DirectoryTracker::takeIfChanged(Revision asOf)
+DirectoryPointer DirectoryTracker::takeIfChanged(StorePosition asOf)
 {
     if (!m_changed)
         return nullptr;
--- a/tarragonhaven/directory_tracker.h
+++ b/tarragonhaven/directory_tracker.h
@@ -65,9 +65,9 @@
     [[nodiscard]] bool hasPendingChanges() const;
     // Makes the next takeIfChanged() return the directory even if it has not changed.
     void markChanged() { m_changed = true; }
-    // Returns the directory, or null if it has not changed since the last call. `asOf` is the revision up to
-    // which all changes were applied.
-    DirectoryPointer takeIfChanged(Revision asOf = 0);
+    // Returns the directory, or null if it has not changed since the last call. `asOf` is the position
+    // up to which all changes were applied.
+    DirectoryPointer takeIfChanged(StorePosition asOf = {});
 
 private:
     struct Entry {
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -230,7 +230,7 @@
     void publishDirectory()
     {
         m_tracker.advance(util::BootClock::now());
-        const auto changed = m_tracker.takeIfChanged(m_asOf);
+        const auto changed = m_tracker.takeIfChanged({ m_epoch.value_or(0), m_asOf });
         if (changed) {
             logDirectory(*changed);
             m_events.push(DirectoryChanged { changed });
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -68,7 +68,7 @@
     std::uint64_t m_incarnation;
     GuardOptions m_options;
     bool m_draining = false;
-    Revision m_directoryAsOf = 0;
+    StorePosition m_directoryAsOf;
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
     struct UnlistedTarget {
         std::shared_ptr<GuardedTarget> guarded;
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -260,7 +260,7 @@
 
 void GuardedTarget::drain() { m_draining = true; }
 
-void GuardedTarget::update(const Target& target, Revision directoryAsOf)
+void GuardedTarget::update(const Target& target, const StorePosition& directoryAsOf)
 {
     if (m_peerState && directoryAsOf >= m_peerState->asOf)
         m_peerState.reset();
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -44,14 +44,14 @@
     std::vector<InstanceName> entriesToNotify();
     // Refuses new requests from now on, because the instance is stopping.
     void drain();
-    // Applies the directory's record of the same target, as of a revision. Drops what peers have reported up
-    // to that revision. A target that is leaving gets no new requests: waiting requests are refused, running
-    // ones finish.
-    void update(const Target& target, Revision directoryAsOf = 0);
-    // What a peer read from the store about the target, as of a revision.
+    // Applies the directory's record of the same target, as of a position in the store's history. Drops what
+    // peers have reported up to that position. A target that is leaving gets no new requests: waiting
+    // requests are refused, running ones finish.
+    void update(const Target& target, const StorePosition& directoryAsOf = {});
+    // What a peer read from the store about the target, as of a position in the store's history.
     struct PeerState {
         bool serving = true;
-        Revision asOf = 0;
+        StorePosition asOf;
     };
     // Applies what a peer reports, unless an earlier report is as new.
     void recordPeerState(PeerState state);
--- a/tarragonhaven/revision.h
+++ b/tarragonhaven/revision.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
+#include <msgpack.hpp>
 
 namespace tarragonhaven {
 
@@ -12,4 +14,15 @@
 // gives out revisions again, so only revisions of one epoch can be compared. 0 if the store does not say.
 using StoreEpoch = std::uint64_t;
 
+// A position in the history of a store. Positions are ordered across restores: whatever was read in a later
+// epoch is newer.
+struct StorePosition {
+    StoreEpoch epoch = 0;
+    Revision revision = 0;
+    MSGPACK_DEFINE_ARRAY(epoch, revision);
+
+    friend auto operator<=>(const StorePosition&, const StorePosition&) = default;
+    friend bool operator==(const StorePosition&, const StorePosition&) = default;
+};
+
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -206,7 +206,7 @@
     m_guard.recordPeerState(state);
     m_dependencies.log.write(LogLevel::Info, "directory",
         { { "event", "peer-state" }, { "from", from.text }, { "target", state.target },
-            { "serving", state.serving }, { "asOf", state.asOf } });
+            { "serving", state.serving }, { "epoch", state.asOf.epoch }, { "asOf", state.asOf.revision } });
 }
 
 void SidecarTraffic::sendTargetReports()
--- a/tarragonhaven/testing/codec_test.cc
+++ b/tarragonhaven/testing/codec_test.cc
@@ -37,7 +37,8 @@
             TokenRequestMessage { { { 1, "o", 2, 3 } } }, TokenGrantMessage { { { 1, true, 2, 3, 4, 5 } } },
             TokenReturnMessage { { { "o", 1, 2 } } }, IdempotencyBeginMessage { 1, "k", "o", "p" },
             IdempotencyEndMessage { 1, "k", 2, 200 }, IdempotencyVerdictMessage { 1, 2, 3 },
-            LeavingMessage {}, TargetReportMessage { "t", {} }, TargetStateMessage { "t", 100, true, 7 } };
+            LeavingMessage {}, TargetReportMessage { "t", {} },
+            TargetStateMessage { "t", 100, true, { 1, 7 } } };
     }
 
 } // namespace
--- a/tarragonhaven/testing/guard_test.cc
+++ b/tarragonhaven/testing/guard_test.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-Directory directoryWith(std::vector<Target> targets, Revision asOf = 0)
+Directory directoryWith(std::vector<Target> targets, StorePosition asOf = {})
 {
     Directory::TargetsByService services;
     services[{ "status" }] = std::move(targets);
@@ -60,27 +60,34 @@
 {
     boost::asio::io_context io;
     Guard guard(io, { "i1" }, 1);
-    guard.apply(directoryWith({ makeTarget(100) }, 5));
+    guard.apply(directoryWith({ makeTarget(100) }, { 1, 5 }));
     const auto isLeaving = [&guard] { return guard.find({ "t1" })->isLeaving(); };
-    guard.recordPeerState({ "t1", 90, false, 9 });
-    guard.recordPeerState({ "other", 100, false, 9 });
-    guard.recordPeerState({ "t1", 100, false, 5 });
+    guard.recordPeerState({ "t1", 90, false, { 1, 9 } });
+    guard.recordPeerState({ "other", 100, false, { 1, 9 } });
+    guard.recordPeerState({ "t1", 100, false, { 1, 5 } });
     CHECK_FALSE(isLeaving());
-    guard.recordPeerState({ "t1", 100, false, 9 });
+    guard.recordPeerState({ "t1", 100, false, { 1, 9 } });
     CHECK(isLeaving());
     CHECK(guard.find({ "t1" })->report().draining);
     SECTION("a later report says that it serves again, an earlier one changes nothing")
     {
-        guard.recordPeerState({ "t1", 100, true, 8 });
+        guard.recordPeerState({ "t1", 100, true, { 1, 8 } });
         CHECK(isLeaving());
-        guard.recordPeerState({ "t1", 100, true, 10 });
+        guard.recordPeerState({ "t1", 100, true, { 1, 10 } });
+        CHECK_FALSE(isLeaving());
+    }
+    SECTION("a report from after a restore of the store is newer, whatever its revision")
+    {
+        guard.recordPeerState({ "t1", 100, true, { 2, 3 } });
+        CHECK_FALSE(isLeaving());
+        guard.recordPeerState({ "t1", 100, false, { 1, 20 } });
         CHECK_FALSE(isLeaving());
     }
     SECTION("only a directory that is as new replaces the report")
     {
-        guard.apply(directoryWith({ makeTarget(100) }, 8));
+        guard.apply(directoryWith({ makeTarget(100) }, { 1, 8 }));
         CHECK(isLeaving());
-        guard.apply(directoryWith({ makeTarget(100) }, 9));
+        guard.apply(directoryWith({ makeTarget(100) }, { 1, 9 }));
         CHECK_FALSE(isLeaving());
     }
 }
