Tell guards also of targets that serve again after the directory had lost them

A target whose record lapses and comes back was told to its guard as gone and never as serving again, so a guard that is cut off from the store would have refused its requests until it reached the store. Found when reading the change again; directory_diff_test has the case now.

The reader of the store keeps its position as one value, so that a directory which is published between the notice of a restore and the next listing has the position that belongs to it.

--- a/tarragonhaven/directory_diff.cc
+++ b/tarragonhaven/directory_diff.cc
@@ -23,13 +23,20 @@
 
 std::vector<TargetStateChange> changedTargetStates(const Directory& before, const Directory& after)
 {
-    std::vector<TargetStateChange> changes;
+    const auto earlier = startsOf(before);
     const auto current = startsOf(after);
-    for (const auto& [start, target] : startsOf(before)) {
-        const auto found = current.find(start);
-        const bool serving = found != current.end() && !found->second->leaving;
-        if (serving == target->leaving)
-            changes.push_back({ found == current.end() ? *target : *found->second, serving });
+    auto starts = earlier;
+    for (const auto& [start, target] : current)
+        starts[start] = target;
+    const auto serves = [](const std::map<Start, const Target*>& listed, const Start& start) {
+        const auto found = listed.find(start);
+        return found != listed.end() && !found->second->leaving;
+    };
+    std::vector<TargetStateChange> changes;
+    for (const auto& [start, target] : starts) {
+        const bool serving = serves(current, start);
+        if (serving != serves(earlier, start))
+            changes.push_back({ *target, serving });
     }
     return changes;
 }
--- a/tarragonhaven/directory_diff.h
+++ b/tarragonhaven/directory_diff.h
@@ -17,8 +17,8 @@
     friend bool operator==(const TargetStateChange&, const TargetStateChange&) = default;
 };
 
-// Returns the targets that serve in one of the directories only. A start of a target that `before` does not
-// list at all is not returned: its guard lists it first. A target that has restarted counts as another one.
+// Returns the targets that serve in one of the directories only, in the order of their names and start times.
+// A target that has restarted counts as another one.
 std::vector<TargetStateChange> changedTargetStates(const Directory& before, const Directory& after);
 
 } // namespace tarragonhaven
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -109,7 +109,7 @@
             if (listing->declarations)
                 apply(*listing->declarations);
             m_tracker.onListing(listing->targets, listing->asOfRevision, util::BootClock::now());
-            m_asOf = listing->asOfRevision;
+            m_asOf = { listing->epoch, listing->asOfRevision };
             publishDirectory();
             watch();
         });
@@ -120,18 +120,18 @@
         // The first watch after lost contact returns at once, so that a restore of the store shows without
         // delay.
         const auto wait = m_reachable ? maximumWatchWait : util::Duration {};
-        m_store.watch(m_asOf, wait, [this](tl::expected<RecordChanges, StoreFault> changes) {
+        m_store.watch(m_asOf.revision, wait, [this](tl::expected<RecordChanges, StoreFault> changes) {
             if (!changes)
                 return onFailure(changes.error(),
                     changes.error().kind == StoreFault::Kind::HistoryGone ? &DiscoveryWatcher::list
                                                                           : &DiscoveryWatcher::watch);
-            onResponse(std::max(m_asOf, changes->asOfRevision));
+            onResponse(std::max(m_asOf.revision, changes->asOfRevision));
             // The changes are those of another history, in which this node has missed others.
             if (recordEpoch(changes->epoch))
                 return scheduleAfter(util::Duration {}, minimumRetryDelay, &DiscoveryWatcher::list);
             for (const auto& change : changes->changes)
                 std::visit([this](const auto& item) { this->apply(item); }, change);
-            m_asOf = std::max(m_asOf, changes->asOfRevision);
+            m_asOf.revision = std::max(m_asOf.revision, changes->asOfRevision);
             publishDirectory();
             scheduleAfter(batchDelay, batchDelay, &DiscoveryWatcher::watch);
         });
@@ -142,14 +142,15 @@
         countFault(fault.kind);
         if (fault.kind == StoreFault::Kind::HistoryGone) {
             m_log.write(LogLevel::Info, "dependency",
-                { { "name", "store" }, { "event", "history-gone" }, { "asOf", m_asOf } });
+                { { "name", "store" }, { "event", "history-gone" }, { "asOf", m_asOf.revision } });
             return scheduleAfter(util::Duration {}, minimumRetryDelay, retryCall);
         }
         m_tracker.onSourceLost(util::BootClock::now());
         m_counters.reachable.store(false);
         if (std::exchange(m_reachable, false))
             m_log.write(LogLevel::Warning, "dependency",
-                { { "name", "store" }, { "event", "lost" }, { "reason", fault.detail }, { "asOf", m_asOf } });
+                { { "name", "store" }, { "event", "lost" }, { "reason", fault.detail },
+                    { "asOf", m_asOf.revision } });
         if (fault.kind == StoreFault::Kind::Throttled)
             return scheduleAfter(minimumThrottledDelay, maximumThrottledDelay, retryCall);
         scheduleAfter(minimumRetryDelay, maximumRetryDelay, retryCall);
@@ -170,7 +171,7 @@
         if (std::exchange(m_reachable, true))
             return;
         m_log.write(LogLevel::Info, "dependency",
-            { { "name", "store" }, { "event", "reached" }, { "asOf", m_asOf } });
+            { { "name", "store" }, { "event", "reached" }, { "asOf", m_asOf.revision } });
         // Shows that the directory is up to date again, even if it is the same as before.
         m_tracker.markChanged();
     }
@@ -179,12 +180,12 @@
     bool recordEpoch(StoreEpoch epoch)
     {
         m_counters.epoch.store(epoch, std::memory_order_relaxed);
-        const auto before = std::exchange(m_epoch, epoch);
+        const auto before = std::exchange(m_latestEpoch, epoch);
         if (!before || *before == epoch)
             return false;
         m_log.write(LogLevel::Warning, "dependency",
             { { "name", "store" }, { "event", "restored" }, { "epoch", epoch }, { "before", *before },
-                { "asOf", m_asOf } });
+                { "asOf", m_asOf.revision } });
         m_tracker.beginEpoch(util::BootClock::now());
         return true;
     }
@@ -230,7 +231,7 @@
     void publishDirectory()
     {
         m_tracker.advance(util::BootClock::now());
-        const auto changed = m_tracker.takeIfChanged({ m_epoch.value_or(0), m_asOf });
+        const auto changed = m_tracker.takeIfChanged(m_asOf);
         if (changed) {
             logDirectory(*changed);
             m_events.push(DirectoryChanged { changed });
@@ -258,7 +259,8 @@
                 leaving += target.leaving ? 1 : 0;
         }
         m_log.write(LogLevel::Info, "directory",
-            { { "event", "changed" }, { "asOf", m_asOf }, { "targets", targets }, { "leaving", leaving } });
+            { { "event", "changed" }, { "asOf", m_asOf.revision }, { "targets", targets },
+                { "leaving", leaving } });
     }
 
     LogChannel& m_log;
@@ -271,9 +273,10 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_graceTimer;
     std::mt19937_64 m_random;
-    Revision m_asOf = 0;
-    // Not set before the first response.
-    std::optional<StoreEpoch> m_epoch;
+    // The position up to which all changes are known.
+    StorePosition m_asOf;
+    // The epoch of the latest response; not set before the first.
+    std::optional<StoreEpoch> m_latestEpoch;
     bool m_reachable = false;
     std::thread m_thread;
 };
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -59,7 +59,13 @@
     }
 
 private:
-    // Returns the state of this start of a target, or null if there is none.
+    struct UnlistedTarget {
+        std::shared_ptr<GuardedTarget> guarded;
+        util::Time since {};
+    };
+
+    // Removes the state of this start of a target from `previous` or the unlisted targets, and returns it, or
+    // null if there is none.
     std::shared_ptr<GuardedTarget> takeKnown(
         const Target& target, std::map<TargetName, std::shared_ptr<GuardedTarget>>& previous);
 
@@ -68,12 +74,10 @@
     std::uint64_t m_incarnation;
     GuardOptions m_options;
     bool m_draining = false;
+    // The position in the store's history up to which the applied directory is complete.
     StorePosition m_directoryAsOf;
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
-    struct UnlistedTarget {
-        std::shared_ptr<GuardedTarget> guarded;
-        util::Time since {};
-    };
+    // Targets that the directory listed before.
     std::map<TargetName, UnlistedTarget> m_unlisted;
 };
 
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -225,9 +225,12 @@
 {
     if (m_peerState && m_peerState->asOf >= state.asOf)
         return;
+    const bool wasLeaving = isLeaving();
     m_peerState = state;
+    if (wasLeaving == isLeaving())
+        return;
     m_pushTrigger.recordChange();
-    if (!state.serving)
+    if (isLeaving())
         refuseWaitingBecauseLeaving("another node has read that the target is leaving");
 }
 
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -23,10 +23,10 @@
 
 namespace tarragonhaven {
 
-// A target as managed by the one node that guards it: its slots, its queue, its idle connections, its breaker
-// the limit that the target has named and the counters of its successes and failures. Only this node sends
-// requests to the target, so this state has a single writer: the requests of all entry nodes, retries and the
-// requests of other targets are paced together. Not thread-safe: runs on the thread of `io`.
+// A target as managed by the one node that guards it: its slots, its queue, its idle connections, its
+// breaker, the limit that the target has named and the counters of its successes and failures. Only this node
+// sends requests to the target, so this state has a single writer: the requests of all entry nodes, retries
+// and the requests of other targets are paced together. Not thread-safe: runs on the thread of `io`.
 class GuardedTarget {
 public:
     GuardedTarget(
--- a/tarragonhaven/testing/directory_diff_test.cc
+++ b/tarragonhaven/testing/directory_diff_test.cc
@@ -40,8 +40,9 @@
         { { ready, other }, { other }, { { ready, false } } },
         { { leaving }, { ready }, { { ready, true } } },
         { { leaving }, {}, {} },
-        { {}, { ready }, {} },
-        { { ready }, { restarted }, { { ready, false } } },
+        { {}, { ready }, { { ready, true } } },
+        { {}, { leaving }, {} },
+        { { ready }, { restarted }, { { ready, false }, { restarted, true } } },
     };
     for (std::size_t i = 0; i < rows.size(); ++i) {
         CAPTURE(i);
