Give up a response that does not end at the request's deadline

What callers saw: nothing until their own deadline; a target in trouble that sends bytes without end kept its slot, its guard and the entry busy for as long as it went on.

Cause: the timeout of a read does not expire while bytes keep arriving, and the time until the deadline was rounded up to 1 ms for each read. Heads were bounded by their size, but a body without a length, chunks without an end, and interim responses without an end were not bounded at all.

Change: a read of a body that the deadline covers, and of a head, fails at once when the deadline has passed.

--- a/tarragonhaven/target_connection.cc
+++ b/tarragonhaven/target_connection.cc
@@ -130,6 +130,8 @@
 
     void readHead(OutcomeHandler<ResponseHead> handler)
     {
+        if (deadlinePassed())
+            return failLater<ResponseHead>("no response head before the deadline", std::move(handler));
         m_stream.expires_after(timeUntilDeadline());
         http::async_read_header(m_stream, m_buffer, *m_parser,
             [self = shared_from_this(), handler = std::move(handler)](error_code error, std::size_t) {
@@ -141,6 +143,8 @@
 
     void readBody(OutcomeHandler<BodyChunk> handler)
     {
+        if (m_deadlineCoversBody && deadlinePassed())
+            return failLater<BodyChunk>("no end of the response before the deadline", std::move(handler));
         m_stream.expires_after(bodyTimeout());
         m_bodyBuffer.resize(bodyChunkBytes);
         auto& body = m_parser->get().body();
@@ -200,6 +204,20 @@
                                     : bodyIdleTimeout;
     }
 
+    // The timeout of a read does not expire while bytes keep arriving, so a response without an end would be
+    // read for ever.
+    [[nodiscard]] bool deadlinePassed() const { return util::BootClock::now() >= m_deadline; }
+
+    template <typename T> void failLater(const char* detail, OutcomeHandler<T> handler)
+    {
+        const auto refusal = makeRefusal(RefusalReason::TargetTimeout, RunState::Unknown, detail);
+        asio::post(
+            m_stream.get_executor(), [self = shared_from_this(), refusal, handler = std::move(handler)] {
+                if (!self->m_closed)
+                    handler(tl::unexpected(refusal));
+            });
+    }
+
     [[nodiscard]] util::Duration timeUntilDeadline() const
     {
         return std::max<util::Duration>(m_deadline - util::BootClock::now(), std::chrono::milliseconds(1));
