Try a target again after its guard was draining

What callers saw: fewer targets than run; each entry stopped using the targets of a node that was stopped and started, until they restarted themselves.

Cause: a report that the guard drains held until the next report, and an entry that does not use a target gets no report.

Ruled out: the directory, which listed all five targets.

Change: a draining report holds for 2 s.

--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -36,6 +36,9 @@
     constexpr int percent = 100;
     // The share of its slots for which a target is used while it is slow after its start.
     constexpr double slowStartShare = 0.4;
+    // How long a target is not used after a report that its guard is draining. The guard may have restarted
+    // since, which only a report shows, and reports come with responses.
+    constexpr util::Duration drainingRetention = std::chrono::seconds(2);
     // The least share for which a target with a limit is used, so that it can show that the limit has ended.
     constexpr double minimumLimitShare = 0.05;
     constexpr double microsecondsPerSecond = 1e6;
@@ -447,7 +450,9 @@
         TargetView view;
         view.target = &state.target;
         view.ejectionState = state.ejection.state();
-        view.leaving = state.leaving || state.target.leaving || state.evidence.lastReport().draining;
+        const bool draining
+            = state.evidence.lastReport().draining && now < state.lastReport + drainingRetention;
+        view.leaving = state.leaving || state.target.leaving || draining;
         view.weight = state.ejection.weight(now) * limitShare(state)
             * (now < state.target.slowStartUntil ? slowStartShare : 1);
         const auto& report = state.evidence.lastReport();
--- a/tarragonhaven/testing/service_health_test.cc
+++ b/tarragonhaven/testing/service_health_test.cc
@@ -47,6 +47,14 @@
             health.recordReport(nameOf(target), report, clock.now());
         }
 
+        void setDraining(std::size_t target)
+        {
+            auto& report = m_reports[target];
+            ++report.sequence;
+            report.draining = true;
+            health.recordReport(nameOf(target), report, clock.now());
+        }
+
         void setLimit(std::size_t target, double requestsPerSecond, std::chrono::milliseconds untilNext)
         {
             auto& report = m_reports[target];
@@ -286,6 +294,22 @@
     CHECK(health.views(now + std::chrono::seconds(2))[1].weight == 1);
 }
 
+// Guards against a target that an entry never uses again after its guard was stopped and started: without
+// requests the entry gets no report that would say so.
+TEST_CASE("a target whose guard was draining is tried again after a while")
+{
+    SimulatedService service({ 5, 5 }, 0);
+    for (int i = 0; i < 20; ++i)
+        service.respond(static_cast<std::size_t>(i % 2), 20);
+    service.setDraining(1);
+    CHECK(service.health.views(service.clock.now())[1].leaving);
+    CHECK_FALSE(service.health.views(service.clock.now())[0].leaving);
+    service.clock.advance(std::chrono::seconds(2));
+    CHECK_FALSE(service.health.views(service.clock.now())[1].leaving);
+    service.setDraining(1);
+    CHECK(service.health.views(service.clock.now())[1].leaving);
+}
+
 TEST_CASE("a target with a limit is used for the share of its slots that the limit admits")
 {
     SimulatedService service({ 5, 5 }, 0);
