--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -14,7 +14,7 @@
 #include "tarragonhaven/route_splitter.h"
 #include "tarragonhaven/service_health.h"
 #include "tarragonhaven/target_chooser.h"
-#include "tarragonhaven/target_notices.h"
+#include "tarragonhaven/target_notice_table.h"
 #include "tarragonhaven/traffic_metrics.h"
 
 #include <boost/asio/io_context.hpp>
@@ -146,7 +146,7 @@
     // Targets passed to avoid(), with the time at which they may be chosen again.
     std::map<TargetName, util::Time> m_avoided;
     std::map<TargetName, ServiceName> m_serviceOfTarget;
-    TargetNotices m_notices;
+    TargetNoticeTable m_notices;
     LocalRetryLimiter m_localRetries;
     std::map<std::uint64_t, OutstandingRequest> m_outstanding;
     std::uint64_t m_lastOutstandingNumber = 0;
--- a/tarragonhaven/target_notices.cc
+++ b/tarragonhaven/target_notice_table.cc
@@ -1,8 +1,8 @@
-#include "tarragonhaven/target_notices.h"
+#include "tarragonhaven/target_notice_table.h"
 
 namespace tarragonhaven {
 
-void TargetNotices::record(const TargetName& target, const TargetReport& report, util::Time now)
+void TargetNoticeTable::record(const TargetName& target, const TargetReport& report, util::Time now)
 {
     const auto known = m_entries.find(target);
     if (known == m_entries.end() && !report.requestLimit && !report.announcedLeaving)
@@ -18,14 +18,14 @@
         entry.notice.requestsPerSecond = report.requestLimit;
 }
 
-TargetNotice TargetNotices::find(const Target& target) const
+TargetNotice TargetNoticeTable::find(const Target& target) const
 {
     const auto found = m_entries.find(target.name);
     const bool known = found != m_entries.end() && found->second.startTimeMs == target.startTimeMs;
     return known ? found->second.notice : TargetNotice {};
 }
 
-void TargetNotices::removeExpired(util::Time now)
+void TargetNoticeTable::removeExpired(util::Time now)
 {
     std::erase_if(m_entries, [now](const auto& item) { return now - item.second.reportedAt > retention; });
 }
--- a/tarragonhaven/target_notices.h
+++ b/tarragonhaven/target_notice_table.h
@@ -14,7 +14,7 @@
 // the guards' reports and the directory: a guard that restarts does not know what its target announced
 // before, and a target that the directory loses may return. An announced stop is final. A later start of a
 // target begins without notices. Targets that have never announced anything take no memory.
-class TargetNotices {
+class TargetNoticeTable {
 public:
     // Records the announcements in a report. Reports on an earlier start of the target are ignored.
     void record(const TargetName& target, const TargetReport& report, util::Time now);
--- a/tarragonhaven/testing/endless_response_test.cc
+++ b/tarragonhaven/testing/endless_response_test.cc
@@ -93,7 +93,7 @@
 
 } // namespace
 
-// Guards against a target in trouble that keeps a request, and a node's memory, busy for ever.
+// Guards against a target in trouble that keeps a request, and a node's memory, busy forever.
 TEST_CASE("a response that does not end is given up at the deadline, and its head much earlier", "[net]")
 {
     struct Row {
--- a/tarragonhaven/testing/target_notices_test.cc
+++ b/tarragonhaven/testing/target_notice_table_test.cc
@@ -1,4 +1,4 @@
-#include "tarragonhaven/target_notices.h"
+#include "tarragonhaven/target_notice_table.h"
 
 #include <catch2/catch.hpp>
 
@@ -29,7 +29,7 @@
 
 TEST_CASE("the limit of a target holds until its guard reports another one, or a later start")
 {
-    TargetNotices notices;
+    TargetNoticeTable notices;
     notices.record({ "t" }, report(100, true, 2.0), start);
     CHECK(notices.find(target(100)).requestsPerSecond == 2.0);
     CHECK_FALSE(notices.find(target(200)).requestsPerSecond);
@@ -54,16 +54,16 @@
     }
     SECTION("notices expire")
     {
-        notices.removeExpired(start + TargetNotices::retention);
+        notices.removeExpired(start + TargetNoticeTable::retention);
         CHECK(notices.find(target(100)).requestsPerSecond);
-        notices.removeExpired(start + TargetNotices::retention + std::chrono::seconds(1));
+        notices.removeExpired(start + TargetNoticeTable::retention + std::chrono::seconds(1));
         CHECK_FALSE(notices.find(target(100)).requestsPerSecond);
     }
 }
 
 TEST_CASE("an announced stop of a target holds after a restart of its guard, until a later start")
 {
-    TargetNotices notices;
+    TargetNoticeTable notices;
     CHECK(notices.empty());
     auto leaving = report(100, true, std::nullopt);
     leaving.announcedLeaving = true;
