Find the guard of a target that serves again in the newer directory

The message that a target serves again was never sent if the earlier directory had lost the target's instance as well, which is always so where an instance has one target: the guard was looked up in the earlier directory only.

The difference now contains the guard's address, from the newest directory that lists the instance, and directory_diff_test checks it for targets that only one of the two lists.

--- a/tarragonhaven/directory_diff.cc
+++ b/tarragonhaven/directory_diff.cc
@@ -35,8 +35,12 @@
     std::vector<TargetStateChange> changes;
     for (const auto& [start, target] : starts) {
         const bool serving = serves(current, start);
-        if (serving != serves(earlier, start))
-            changes.push_back({ *target, serving });
+        if (serving == serves(earlier, start))
+            continue;
+        const auto* guard = after.instance(target->instance);
+        if (!guard)
+            guard = before.instance(target->instance);
+        changes.push_back({ *target, serving, guard->peerAddress });
     }
     return changes;
 }
--- a/tarragonhaven/directory_diff.h
+++ b/tarragonhaven/directory_diff.h
@@ -12,6 +12,9 @@
 struct TargetStateChange {
     Target target;
     bool serving = false;
+    // The address at which the node that guards the target accepts messages, from the newest directory that
+    // lists its instance.
+    Endpoint guardAddress;
 
     friend auto operator<=>(const TargetStateChange&, const TargetStateChange&) = default;
     friend bool operator==(const TargetStateChange&, const TargetStateChange&) = default;
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -174,15 +174,14 @@
     std::vector<std::string> nodes;
     for (const auto& [name, instance] : after.instances())
         nodes.push_back(name.text);
-    for (const auto& [target, serving] : changes) {
+    for (const auto& [target, serving, guardAddress] : changes) {
         const auto order = rendezvousOrder(target.name.text, nodes);
         const auto end
             = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), targetStateReporters));
         if (std::find(order.begin(), end, m_dependencies.settings.instance.text) == end)
             continue;
-        const auto* guard = before.instance(target.instance);
-        if (guard && target.instance != m_dependencies.settings.instance)
-            m_socket.send(guard->peerAddress,
+        if (target.instance != m_dependencies.settings.instance)
+            m_socket.send(guardAddress,
                 TargetStateMessage { target.name.text, target.startTimeMs, serving, after.asOf() });
     }
 }
--- a/tarragonhaven/testing/directory_diff_test.cc
+++ b/tarragonhaven/testing/directory_diff_test.cc
@@ -29,6 +29,9 @@
     const auto leaving = makeTarget("a", 100, true);
     const auto restarted = makeTarget("a", 200);
     const auto other = makeTarget("b", 100);
+    // All targets are at one address. The guard is found also if only one of the directories lists its
+    // instance.
+    const Endpoint guard { "127.0.0.1", 7000 };
     struct Row {
         std::vector<Target> before;
         std::vector<Target> after;
@@ -36,13 +39,13 @@
     };
     const std::vector<Row> rows {
         { { ready, other }, { ready, other }, {} },
-        { { ready, other }, { leaving, other }, { { leaving, false } } },
-        { { ready, other }, { other }, { { ready, false } } },
-        { { leaving }, { ready }, { { ready, true } } },
+        { { ready, other }, { leaving, other }, { { leaving, false, guard } } },
+        { { ready, other }, { other }, { { ready, false, guard } } },
+        { { leaving }, { ready }, { { ready, true, guard } } },
         { { leaving }, {}, {} },
-        { {}, { ready }, { { ready, true } } },
+        { {}, { ready }, { { ready, true, guard } } },
         { {}, { leaving }, {} },
-        { { ready }, { restarted }, { { ready, false }, { restarted, true } } },
+        { { ready }, { restarted }, { { ready, false, guard }, { restarted, true, guard } } },
     };
     for (std::size_t i = 0; i < rows.size(); ++i) {
         CAPTURE(i);
