Watch the store for less than the time in which a change has to be in force

Cause: a change wakes all watches of the fleet at the same moment. If the store falls silent then, all answers are lost and all connections stay open, and TCP acknowledges. Each node waited for its own watch to time out: 10 s and 1.5 s more. All 33 nodes logged the loss between 17.071 and 17.089 s, 11.5 s after their watches began at 5.57 s, though the store had answered again since 11.4 s.

Change: a watch waits for 1.2 to 1.4 s, drawn at random so that nodes that were woken together do not call together again, and times out 350 ms later. A timeout is no failure yet: the changes are read at once on a new connection, and only if that fails is the store lost. A removed record counts as lost because of the store's silence only if no answer came for 3 s, so that a timeout alone does not keep removed targets in use.

Why it works: whatever made an open connection silent, no knowledge depends on it for more than 1.75 s and a read, for each node by itself, whether peers are cut off, have all just started, or are answered by a store that turns this node away. Considered: long watches out of phase and peers that tell of newer positions, and cheap stale reads as a sign of life (docs/PLATFORM.md).

--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -66,11 +66,16 @@
 
 private:
     static constexpr std::size_t ringCapacity = 256;
-    // How long the store may hold a watch request open while there is no change. A dead connection is
-    // detected sooner. But if an intermediary keeps the connection open without forwarding data, the fault is
-    // detected only when this time has elapsed. It must therefore be well below 15 s, the time within which
-    // the fleet has to recover from a fault.
-    static constexpr util::Duration maximumWatchWait = std::chrono::seconds(10);
+    // How long the store may hold a watch request open while there is no change. The response may be lost on
+    // a connection that stays open, and the change is then found only after this time and the timeout margin
+    // of the store's client. Together they have to stay below the 2 s within which a change has to be in
+    // force. Drawn at random for each watch, so that the nodes, which a change wakes at the same moment, do
+    // not call the store at the same moment again.
+    static constexpr util::Duration minimumWatchWait = std::chrono::milliseconds(1200);
+    static constexpr util::Duration maximumWatchWait = std::chrono::milliseconds(1400);
+    // Targets lose their records when the store has not heard from them for some seconds. After a silence of
+    // this length the loss of records may be due to the store.
+    static constexpr util::Duration recordLossSilence = std::chrono::seconds(3);
     // The pause between watches. Changes within this time are read in one call, because every call adds load
     // to the store. It is about a third of the 2 s within which a change has to be in force.
     static constexpr util::Duration batchDelay = std::chrono::milliseconds(650);
@@ -85,12 +90,16 @@
 
     using Call = void (DiscoveryWatcher::*)();
 
+    util::Duration randomDuration(util::Duration minimum, util::Duration maximum)
+    {
+        return util::Duration(
+            std::uniform_int_distribution<std::int64_t>(minimum.count(), maximum.count())(m_random));
+    }
+
     // Calls `call` after a random delay between the limits.
     void scheduleAfter(util::Duration minimumDelay, util::Duration maximumDelay, Call call)
     {
-        const auto delay = std::uniform_int_distribution<std::int64_t>(
-            minimumDelay.count(), maximumDelay.count())(m_random);
-        m_timer.expires_after(std::chrono::nanoseconds(delay));
+        m_timer.expires_after(randomDuration(minimumDelay, maximumDelay));
         m_timer.async_wait([this, call](boost::system::error_code error) {
             if (!error)
                 std::invoke(call, this);
@@ -134,13 +143,32 @@
     {
         // The first watch after lost contact returns at once, so that a restore of the store shows without
         // delay.
-        const auto wait = m_reachable ? maximumWatchWait : util::Duration {};
-        beginCall("watch");
-        m_store.watch(m_asOf.revision, wait, [this](tl::expected<RecordChanges, StoreFault> changes) {
-            if (!changes)
+        if (!m_reachable)
+            return readChanges("watch", util::Duration {});
+        readChanges("watch", randomDuration(minimumWatchWait, maximumWatchWait));
+    }
+
+    // Reads the changes on a new connection without waiting for one.
+    void confirm() { readChanges("confirm", util::Duration {}); }
+
+    void readChanges(const char* name, util::Duration wait)
+    {
+        beginCall(name);
+        m_store.watch(m_asOf.revision, wait, [this, wait](tl::expected<RecordChanges, StoreFault> changes) {
+            if (!changes) {
+                const auto kind = changes.error().kind;
+                const bool waited = m_reachable && wait > util::Duration {};
+                // The response may have been lost alone, with its connection, while the store answers others.
+                if (waited && kind == StoreFault::Kind::TimedOut) {
+                    countFault(kind);
+                    return confirm();
+                }
                 return onFailure(changes.error(),
-                    changes.error().kind == StoreFault::Kind::HistoryGone ? &DiscoveryWatcher::list
-                                                                          : &DiscoveryWatcher::watch);
+                    kind == StoreFault::Kind::HistoryGone ? &DiscoveryWatcher::list
+                                                          : &DiscoveryWatcher::watch);
+            }
+            if (util::BootClock::now() - m_lastResponseAt >= recordLossSilence)
+                m_tracker.onSourceLost(util::BootClock::now());
             onResponse(std::max(m_asOf.revision, changes->asOfRevision));
             // The changes are those of another history, in which this node has missed others.
             if (recordEpoch(changes->epoch))
