--- a/tarragonhaven/endpoint.cc
+++ b/tarragonhaven/endpoint.cc
@@ -32,6 +32,14 @@
     return Endpoint { address.to_string(), static_cast<std::uint16_t>(port) };
 }
 
+bool isUnicast(const Endpoint& endpoint)
+{
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    const bool broadcast = address.is_v4() && address.to_v4() == boost::asio::ip::address_v4::broadcast();
+    return !error && !address.is_unspecified() && !address.is_multicast() && !broadcast;
+}
+
 std::string toString(const Endpoint& endpoint)
 {
     const bool isIpv6 = endpoint.address.find(':') != std::string::npos;
--- a/tarragonhaven/endpoint.h
+++ b/tarragonhaven/endpoint.h
@@ -19,6 +19,9 @@
 // Parses an endpoint. Returns nothing if `text` is not an IP address followed by a port from 1 to 65535.
 std::optional<Endpoint> parseEndpoint(const std::string& text);
 
+// Returns whether the address names one host: it is neither unspecified nor a multicast or broadcast address.
+bool isUnicast(const Endpoint& endpoint);
+
 // Formats an endpoint in the form that parseEndpoint() accepts.
 std::string toString(const Endpoint& endpoint);
 
