Do not take a refusal without a request id for the answer to a later request

What users saw on other systems: a faulty upstream wrote an earlier refusal once more on a kept connection; callers were told 'not run, try again' for requests that it had run, or such a request ran at a second upstream (REFUSED, TWICE).

Here: a refusal that names another request was skipped, but one without a request id was taken for the answer, whatever came before it on the connection.

Change: such a refusal counts only as the first response on its connection, where no earlier one can be repeated; after that the outcome of the request is unknown and the connection is given up. A connection on which the target refused a request is not kept, as before.

--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -153,7 +153,8 @@
     if (!head)
         return head;
     const auto& headerNames = m_target->options().headerNames;
-    const auto check = checkResponse(*head, m_context.requestId, headerNames);
+    const auto check = checkResponse(*head, m_context.requestId, headerNames,
+        m_connection->hasEarlierResponses() ? ConnectionUse::Reused : ConnectionUse::First);
     if (check.fromTarget) {
         m_record.notice = parseTargetNotice(*head, headerNames);
         m_target->recordNotice(m_record.notice);
--- a/tarragonhaven/response_check.cc
+++ b/tarragonhaven/response_check.cc
@@ -1,6 +1,7 @@
 // The request id is checked first: if it belongs to another request, nothing else in the response is trusted.
 // A response without a request id is trusted only if it reports that the request did not run, since a target
-// may say so before it has read the id.
+// may say so before it has read the id, and if it is the first one on its connection. A later one may be an
+// earlier report that the target has written once more, while it runs this request.
 
 #include "tarragonhaven/response_check.h"
 
@@ -25,13 +26,13 @@
 } // namespace
 
 ResponseCheck checkResponse(
-    const ResponseHead& head, const std::string& requestId, const HeaderNames& headerNames)
+    const ResponseHead& head, const std::string& requestId, const HeaderNames& headerNames, ConnectionUse use)
 {
     const auto id = headerNames.requestId.empty() ? std::string_view(requestId)
                                                   : fieldValue(head.fields, headerNames.requestId);
     if (!id.empty() && id != requestId)
         return { ResponseVerdict::Mismatched, "response belongs to another request", false };
-    if (reportsNotRun(head, headerNames)) {
+    if (reportsNotRun(head, headerNames) && (!id.empty() || use == ConnectionUse::First)) {
         const bool misdirected = head.status == misdirectedStatus;
         return { ResponseVerdict::NotRun,
             misdirected ? "another target listens on this address (status 421)"
--- a/tarragonhaven/response_check.h
+++ b/tarragonhaven/response_check.h
@@ -33,9 +33,16 @@
     friend bool operator==(const ResponseCheck&, const ResponseCheck&) = default;
 };
 
+// Whether an earlier response on the connection may precede the response to a request.
+enum class ConnectionUse {
+    // The response is the first one on its connection.
+    First,
+    Reused,
+};
+
 // Checks the head of the response to the request with the id `requestId`. Checks that need a header field
 // without a configured name are skipped. `detail` says why a response is not valid.
-ResponseCheck checkResponse(
-    const ResponseHead& head, const std::string& requestId, const HeaderNames& headerNames);
+ResponseCheck checkResponse(const ResponseHead& head, const std::string& requestId,
+    const HeaderNames& headerNames, ConnectionUse use);
 
 } // namespace tarragonhaven
--- a/tarragonhaven/target_connection.cc
+++ b/tarragonhaven/target_connection.cc
@@ -165,6 +165,8 @@
         m_stream.socket().close(ignored);
     }
 
+    [[nodiscard]] bool hasEarlierResponses() const { return m_responses > 1; }
+
     // Bytes after the response, or a request that was not sent completely, would corrupt the next exchange.
     [[nodiscard]] bool reusable() const
     {
@@ -254,6 +256,7 @@
         const auto& message = m_parser->get();
         if (message.result_int() < 200)
             return readNextHead(handler);
+        ++m_responses;
         ResponseHead head = toHead();
         if (isMismatched(head))
             return skipMismatchedResponse(head, handler);
@@ -365,6 +368,8 @@
     beast::flat_buffer m_buffer;
     std::string m_requestId;
     int m_mismatchedResponses = 0;
+    // The number of response heads read, interim ones not counted.
+    int m_responses = 0;
     bool m_deadlineCoversBody = false;
     util::Duration m_maximumIdleTime = defaultMaximumIdleTime;
     std::string m_host;
@@ -414,6 +419,8 @@
 
 void TargetConnection::close() { m_rep->close(); }
 
+bool TargetConnection::hasEarlierResponses() const { return m_rep->hasEarlierResponses(); }
+
 bool TargetConnection::reusable() const { return m_rep->reusable(); }
 
 bool TargetConnection::stillOpen() { return m_rep->stillOpen(); }
--- a/tarragonhaven/target_connection.h
+++ b/tarragonhaven/target_connection.h
@@ -47,6 +47,8 @@
     // Closes the connection. Pending handlers are not called.
     void close();
 
+    // Returns whether the target has written a response on this connection before the current one.
+    [[nodiscard]] bool hasEarlierResponses() const;
     // Returns whether the last response was read completely and the target keeps the connection open.
     [[nodiscard]] bool reusable() const;
     // Returns whether an idle connection is still open and has received nothing.
--- a/tarragonhaven/testing/response_check_test.cc
+++ b/tarragonhaven/testing/response_check_test.cc
@@ -1,6 +1,8 @@
 #include "tarragonhaven/response_check.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
 
 using namespace tarragonhaven;
 
@@ -28,6 +30,8 @@
     struct Row {
         ResponseHead response;
         ResponseVerdict verdict;
+        // The verdict on a connection on which the target has responded before.
+        std::optional<ResponseVerdict> verdictIfReused = std::nullopt;
     };
     const std::vector<Row> rows {
         { head(200, { { "request-id", "r1" }, { "Signature", "s" } }), ResponseVerdict::Valid },
@@ -35,8 +39,9 @@
         { head(200, { { "Request-Id", "r0" }, { "Signature", "s" } }), ResponseVerdict::Mismatched },
         { head(503, { { "Request-Id", "r0" }, { "Not-Run", "1" } }), ResponseVerdict::Mismatched },
         { head(503, { { "Request-Id", "r1" }, { "Not-Run", "1" } }), ResponseVerdict::NotRun },
-        { head(503, { { "Not-Run", "1" } }), ResponseVerdict::NotRun },
-        { head(421, {}), ResponseVerdict::NotRun },
+        { head(503, { { "Not-Run", "1" } }), ResponseVerdict::NotRun, ResponseVerdict::Invalid },
+        { head(421, {}), ResponseVerdict::NotRun, ResponseVerdict::Invalid },
+        { head(421, { { "Request-Id", "r1" } }), ResponseVerdict::NotRun },
         { head(503, { { "Request-Id", "r1" } }), ResponseVerdict::Valid },
         { head(200, { { "Signature", "s" } }), ResponseVerdict::Invalid },
         { head(200, { { "Request-Id", "r1" } }), ResponseVerdict::Invalid },
@@ -45,12 +50,14 @@
     };
     for (const auto& row : rows) {
         CAPTURE(row.response.status, row.response.fields.size());
-        CHECK(checkResponse(row.response, "r1", headerNames()).verdict == row.verdict);
+        CHECK(checkResponse(row.response, "r1", headerNames(), ConnectionUse::First).verdict == row.verdict);
+        CHECK(checkResponse(row.response, "r1", headerNames(), ConnectionUse::Reused).verdict
+            == row.verdictIfReused.value_or(row.verdict));
     }
 }
 
 TEST_CASE("without configured header fields every response is valid")
 {
-    CHECK(checkResponse(head(200, {}), "r1", {}).verdict == ResponseVerdict::Valid);
-    CHECK(checkResponse(head(421, {}), "r1", {}).verdict == ResponseVerdict::Valid);
+    CHECK(checkResponse(head(200, {}), "r1", {}, ConnectionUse::Reused).verdict == ResponseVerdict::Valid);
+    CHECK(checkResponse(head(421, {}), "r1", {}, ConnectionUse::Reused).verdict == ResponseVerdict::Valid);
 }
