Count the time in which targets register again from the end of an outage

What callers would see: after an outage of the store in which records lapsed, targets that live are unused for a moment, although their records are back within two seconds of the store's return. It was found while looking for the cause of silent watches elsewhere; nodes that stayed blind for some seconds after an outage had hidden it.

Cause: the grace period of 2.2 s ran from the last failed call, which may have been up to 0.75 s before the return.

Change: the first response after lost contact begins the grace period.

--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -126,6 +126,7 @@
         m_store.list([this](tl::expected<RecordListing, StoreFault> listing) {
             if (!listing)
                 return onFailure(listing.error(), &DiscoveryWatcher::list);
+            extendOutageGrace();
             onResponse(listing->asOfRevision);
             recordEpoch(listing->epoch);
             for (const auto& rejected : listing->rejected)
@@ -167,8 +168,7 @@
                     kind == StoreFault::Kind::HistoryGone ? &DiscoveryWatcher::list
                                                           : &DiscoveryWatcher::watch);
             }
-            if (util::BootClock::now() - m_lastResponseAt >= recordLossSilence)
-                m_tracker.onSourceLost(util::BootClock::now());
+            extendOutageGrace();
             onResponse(std::max(m_asOf.revision, changes->asOfRevision));
             // The changes are those of another history, in which this node has missed others.
             if (recordEpoch(changes->epoch))
@@ -181,6 +181,16 @@
         });
     }
 
+    // Begins the time in which targets write the records again that they lost during an outage, when a
+    // response shows that the outage has ended.
+    void extendOutageGrace()
+    {
+        const auto now = util::BootClock::now();
+        const bool hadContact = m_lastResponseAt != util::Time {};
+        if (hadContact && (!m_reachable || now - m_lastResponseAt >= recordLossSilence))
+            m_tracker.onSourceLost(now);
+    }
+
     void onFailure(const StoreFault& fault, Call retryCall)
     {
         countFault(fault.kind);
