Do not let an entry of an unknown service displace a target

What callers would see: a target in use gets no more requests, because an entry of another writer claims its address with a later start and a service that does not exist. Found by reading, after the report of odd entries.

Change: of two targets at one address, one of a declared service takes precedence; the start times decide between others as before. Such an entry still lists its instance, as any entry does.

Evidence: a new test of directory_tracker_test. A valid entry of the same service still displaces the target: the two cannot be told apart.

--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -4,6 +4,7 @@
 #include <iterator>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace tarragonhaven {
 
@@ -21,6 +22,19 @@
     return m_sourceLostAt && now - *m_sourceLostAt < m_options.outageGrace;
 }
 
+void DirectoryTracker::setDeclaredServices(std::set<ServiceName> services)
+{
+    if (m_declaredServices == services)
+        return;
+    m_declaredServices = std::move(services);
+    m_changed = true;
+}
+
+bool DirectoryTracker::isDeclared(const ServiceName& service) const
+{
+    return !m_declaredServices || m_declaredServices->contains(service);
+}
+
 void DirectoryTracker::onRecord(const TargetRecord& record, util::Time now)
 {
     auto& entry = m_entries[record.target.name];
@@ -130,8 +144,9 @@
         if (entry.usedFrom)
             continue;
         auto& newest = newestAtAddress[entry.record.target.address];
-        const auto order = [](const Entry& candidate) {
-            return std::make_tuple(candidate.record.target.startTimeMs, candidate.record.revision);
+        const auto order = [this](const Entry& candidate) {
+            return std::make_tuple(isDeclared(candidate.record.service), candidate.record.target.startTimeMs,
+                candidate.record.revision);
         };
         if (!newest || order(*newest) < order(entry))
             newest = &entry;
--- a/tarragonhaven/directory_tracker.h
+++ b/tarragonhaven/directory_tracker.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace tarragonhaven {
@@ -31,7 +32,7 @@
 // - The record of a later start of a target replaces that of an earlier start, in whichever order the two
 //   arrive. Among records of one start, the higher sequence number wins.
 // - Two targets cannot listen at one address, so only the one that started later is used; the other is marked
-//   as leaving.
+//   as leaving. A target of a service that is not declared never takes precedence over one that is.
 // - When a record is removed, its target is removed at once, unless the source was unreachable within the
 //   last `outageGrace`. In that case the target is kept until `outageGrace` after the source was last
 //   unreachable, so that it can register again.
@@ -54,6 +55,8 @@
     // before counts as older than any record and removal from now on. Records of an earlier start or state of
     // a target are still ignored. Targets that the copy lacks get a grace period, as after an outage.
     void beginEpoch(util::Time now);
+    // Sets the services that are declared. Before the first call all services count as declared.
+    void setDeclaredServices(std::set<ServiceName> services);
     // Records that the source is unreachable at `now`.
     void onSourceLost(util::Time now) { m_sourceLostAt = now; }
     // Removes the targets whose records were still missing at the end of the grace period, and uses those
@@ -87,7 +90,10 @@
     // Returns whether the listed record is one of a target that was removed before the source was restored.
     [[nodiscard]] bool isRestored(const TargetRecord& record, util::Time now) const;
 
+    [[nodiscard]] bool isDeclared(const ServiceName& service) const;
+
     DirectoryOptions m_options;
+    std::optional<std::set<ServiceName>> m_declaredServices;
     std::map<TargetName, Entry> m_entries;
     std::map<TargetName, RemovedTarget> m_removed;
     std::optional<util::Time> m_sourceLostAt;
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -265,6 +266,10 @@
             return;
         }
         m_holder.offer(*configuration);
+        std::set<ServiceName> services;
+        for (const auto& service : (*configuration)->index().services)
+            services.insert(service.name);
+        m_tracker.setDeclaredServices(std::move(services));
         m_log.write(LogLevel::Info, "configuration",
             { { "event", "accepted" }, { "revision", document.revision }, { "from", "store" },
                 { "organisations", (*configuration)->organisationCount() },
--- a/tarragonhaven/testing/directory_tracker_test.cc
+++ b/tarragonhaven/testing/directory_tracker_test.cc
@@ -71,6 +71,22 @@
     CHECK(directory->instance({ "10.0.0.1" })->peerAddress == Endpoint { "10.0.0.1", 7000 });
 }
 
+// Guards against an entry of another writer that takes a target of a declared service out of use.
+TEST_CASE("DirectoryTracker does not let a target of an unknown service displace one of a declared service")
+{
+    DirectoryTracker tracker({ .peerPort = 7000 });
+    tracker.setDeclaredServices({ { "status" } });
+    auto foreign = record("foreign", 2, 200);
+    foreign.service = { "unknown" };
+    tracker.onListing({ record("a", 1, 100), foreign }, 2, at(0));
+    CHECK_FALSE(find(tracker.takeIfChanged(), "a")->leaving);
+    // When the service is declared, the later start is used.
+    tracker.setDeclaredServices({ { "status" }, { "unknown" } });
+    CHECK(find(tracker.takeIfChanged(), "a")->leaving);
+    tracker.setDeclaredServices({ { "unknown" }, { "status" } });
+    CHECK(tracker.takeIfChanged() == nullptr);
+}
+
 TEST_CASE("DirectoryTracker removes a target at once if its record is removed while the source answers")
 {
     DirectoryTracker tracker({ .peerPort = 7000 });
