--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -97,8 +97,7 @@
         const bool answered
             = connection->write("POST /web/form HTTP/1.1\r\nHost: h.example\r\nX-Tarragonhaven-Request-Id: "
                   + id + "\r\nX-Tarragonhaven-Request-Deadline: " + std::to_string(deadlineMs)
-                  + "\r\nAuthorization: Token " + ConfigOptions {}.key
-                  + "\r\nContent-Length: 7\r\n\r\nchild=1")
+                  + "\r\nAuthorization: Token " + defaultKey + "\r\nContent-Length: 7\r\n\r\nchild=1")
             && connection->read(answer, Clock::now() + Milliseconds(deadlineMs)) && answer.complete;
         const bool passedOn = runs.contains(id);
         if (answered) {
@@ -122,7 +121,7 @@
         Request request;
         request.path = "/files/f";
         request.id = newRequestId();
-        request.key = ConfigOptions {}.key;
+        request.key = defaultKey;
         request.deadlineMs = deadlineMs;
         const auto answer = call(ip, request);
         if (answer.status != 200)
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -156,7 +156,7 @@
             request.path = crashing ? crashingPath : "/enroll/form-1";
             request.body = "child=1";
             request.id = newRequestId();
-            request.key = ConfigOptions {}.key;
+            request.key = defaultKey;
             request.deadlineMs = deadlineMs;
             const auto& node = m_nodes[machine % machineCount]->options();
             const auto answer = call(node.ip, request);
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -64,7 +64,7 @@
     request.method = "POST";
     request.path = "/upload/form";
     request.id = newRequestId();
-    request.key = ConfigOptions {}.key;
+    request.key = defaultKey;
     request.deadlineMs = deadlineMs;
     request.body = std::string(bodyBytes, 'b');
     const auto answer = call(node.options().ip, request, leaves ? leaveAfterMs - deadlineMs : 0);
--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -672,16 +672,23 @@
             + R"(,"priority":1,"public":false,"match":{"prefix":")" + route.prefix
             + R"("},"action":{"service":")" + route.service + R"(","timeout_ms":)"
             + std::to_string(route.timeoutMs) + R"(,"attempts":)" + std::to_string(route.attempts) + "}}";
+    std::string tenants;
+    for (const auto& tenant : options.tenants) {
+        std::string keys;
+        for (const auto& key : tenant.keys)
+            keys.append(keys.empty() ? "\"" : ",\"").append(key).append("\"");
+        tenants += std::string(tenants.empty() ? "" : ",") + R"({"name":")" + tenant.name
+            + R"(","api_keys":[)" + keys + R"(],"priority":1,"rate_per_s":0,"burst":0})";
+    }
     std::string clusters;
     for (const auto& service : options.services)
         clusters += std::string(clusters.empty() ? "" : ",") + R"({"name":")" + service
             + R"(","health_path":"/health","max_connections":330,"protocol":"h1","tls":false})";
     return R"({"version":)" + std::to_string(options.version) + R"(,"limits":{"max_header_bytes":)"
         + std::to_string(options.maxHeaderBytes)
-        + R"(,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":")"
-        + options.tenant + R"(","api_keys":[")" + options.key
-        + R"("],"priority":1,"rate_per_s":0,"burst":0}],"listeners":[{"host":")" + options.host
-        + R"(","rules":[)" + rules + R"(]}],"clusters":[)" + clusters + "]}";
+        + R"(,"max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[)"
+        + tenants + R"(],"listeners":[{"host":")" + options.host + R"(","rules":[)" + rules
+        + R"(]}],"clusters":[)" + clusters + "]}";
 }
 
 } // namespace review
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -263,11 +263,17 @@
     int attempts = 2;
 };
 
+struct TenantOptions {
+    std::string name;
+    std::vector<std::string> keys;
+};
+
+inline const std::string defaultKey = "6wsjnbanfqasnmgkcuyj";
+
 struct ConfigOptions {
     int version = 1;
     std::string host = "h.example";
-    std::string tenant = "t1";
-    std::string key = "6wsjnbanfqasnmgkcuyj";
+    std::vector<TenantOptions> tenants { { "t1", { defaultKey } } };
     std::vector<RouteOptions> routes;
     std::vector<std::string> services;
     long maxHeaderBytes = 16384;
