Fail messages with fields that cannot be stored, and drop trailer fields

What callers saw: a target ended a response with a trailer field of 70,000 bytes, and the process of its guard aborted.

Cause: Beast keeps the length of a field in 16 bits and throws std::length_error above 65,533 bytes. It adds the fields of a trailer to the head, and only the limit of the buffer, 128 kB, applies to them. Nothing catches the exception.

Change: MessageParser reports a field that cannot be stored as header_limit, and drops the fields of trailers, which were never forwarded. It reads responses of targets, requests of callers and answers of the store. decodeFrame refuses heads that Beast could not write.

Why it works: no path from a socket to Beast's container is left that does not check the size first.

Ruled out: catching exceptions in the loop of the traffic thread, which would leave slots and at-most-once records in an unknown state; smaller buffers, as the declared limit of heads may be higher.

--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -7,6 +7,7 @@
 #include "tarragonhaven/close_watch.h"
 #include "tarragonhaven/entry_exchange.h"
 #include "tarragonhaven/http_fields.h"
+#include "tarragonhaven/message_parser.h"
 #include "tarragonhaven/relay.h"
 
 #include <absl/strings/str_format.h>
@@ -82,7 +83,7 @@
     {
     }
 
-    using Parser = http::request_parser<http::buffer_body>;
+    using Parser = MessageParser<true, http::buffer_body>;
     using Self = std::shared_ptr<CallerSession>;
 
     void readNextRequest(const Self& self)
--- a/tarragonhaven/http_get.cc
+++ b/tarragonhaven/http_get.cc
@@ -1,5 +1,6 @@
 #include "tarragonhaven/http_get.h"
 
+#include "tarragonhaven/message_parser.h"
 #include "tarragonhaven/socket_options.h"
 
 #include <absl/strings/numbers.h>
@@ -106,7 +107,7 @@
         beast::tcp_stream m_stream;
         PlatformResponseHandler m_handler;
         http::request<http::empty_body> m_request;
-        http::response_parser<http::string_body> m_parser;
+        MessageParser<false, http::string_body> m_parser;
         beast::flat_buffer m_buffer { bufferLimitBytes };
     };
 
--- a/tarragonhaven/message_head.h
+++ b/tarragonhaven/message_head.h
@@ -60,6 +60,10 @@
     friend bool operator==(const BodyChunk&, const BodyChunk&) = default;
 };
 
+// The maximum size in bytes of the name and of the value of a header field. Beast, which stores fields of
+// messages that are read or written, throws std::length_error above it.
+inline constexpr std::size_t maximumFieldBytes = 65'533;
+
 // The maximum size in bytes of a body chunk that is held in memory for one request.
 inline constexpr std::size_t bodyChunkBytes = 16 * 1024;
 
--- a/tarragonhaven/peer_frame.cc
+++ b/tarragonhaven/peer_frame.cc
@@ -4,6 +4,10 @@
 
 #include "tarragonhaven/peer_frame.h"
 
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
 namespace tarragonhaven {
 
 namespace {
@@ -12,18 +16,41 @@
     constexpr std::size_t maximumDepth = 8;
     constexpr std::size_t frameArraySize = 2;
     constexpr unsigned bitsPerByte = 8;
+    constexpr int minimumStatus = 100;
+    constexpr int maximumStatus = 999;
 
     msgpack::unpack_limit unpackLimit()
     {
         return { maximumArrayItems, 0, maximumFrameBytes, maximumFrameBytes, 0, maximumDepth };
     }
 
+    // Returns whether the head can be written as an HTTP message. Beast throws if it cannot.
+    template <typename Head> bool canBeWritten(const Head& head)
+    {
+        if constexpr (std::is_same_v<Head, ResponseHead>) {
+            if (head.status < minimumStatus || head.status > maximumStatus)
+                return false;
+        }
+        return std::all_of(head.fields.begin(), head.fields.end(), [](const HeaderField& field) {
+            return field.name.size() <= maximumFieldBytes && field.value.size() <= maximumFieldBytes;
+        });
+    }
+
+    template <typename Frame> std::optional<PeerFrame> checkedFrame(Frame frame)
+    {
+        if constexpr (requires { frame.head; }) {
+            if (!canBeWritten(frame.head))
+                return std::nullopt;
+        }
+        return PeerFrame(std::move(frame));
+    }
+
     template <std::size_t Kind = 0>
     std::optional<PeerFrame> decodePayload(std::size_t kind, const msgpack::object& payload)
     {
         if constexpr (Kind < std::variant_size_v<PeerFrame>) {
             if (kind == Kind)
-                return PeerFrame(payload.as<std::variant_alternative_t<Kind, PeerFrame>>());
+                return checkedFrame(payload.as<std::variant_alternative_t<Kind, PeerFrame>>());
             return decodePayload<Kind + 1>(kind, payload);
         }
         return std::nullopt;
--- a/tarragonhaven/target_connection.cc
+++ b/tarragonhaven/target_connection.cc
@@ -6,6 +6,7 @@
 #include "tarragonhaven/target_connection.h"
 
 #include "tarragonhaven/http_fields.h"
+#include "tarragonhaven/message_parser.h"
 #include "tarragonhaven/socket_options.h"
 #include "util/text.h"
 
@@ -196,7 +197,7 @@
     [[nodiscard]] util::Duration maximumIdleTime() const { return m_maximumIdleTime; }
 
 private:
-    using Parser = http::response_parser<http::buffer_body>;
+    using Parser = MessageParser<false, http::buffer_body>;
 
     void resetParser()
     {
--- a/tarragonhaven/testing/codec_test.cc
+++ b/tarragonhaven/testing/codec_test.cc
@@ -85,6 +85,25 @@
     CHECK(!toRefusal({ "r", 0, -1, 0, "", {} }));
 }
 
+// Guards against an exception, which nothing catches, as the head of a frame is written as an HTTP message.
+TEST_CASE("a frame whose head cannot be written as an HTTP message is not a frame")
+{
+    const auto decodes = [](const PeerFrame& frame) {
+        return decodeFrame(std::string_view(encodeFrame(frame)).substr(frameLengthBytes)).has_value();
+    };
+    const auto request = [](const HeaderField& field) {
+        return OpenFrame { "r", "o", "t", true, 1000, { "GET", "/", { field }, false, -1 } };
+    };
+    const std::string longest(maximumFieldBytes, 'a');
+    CHECK(decodes(request({ longest, longest })));
+    CHECK(!decodes(request({ longest + "a", "b" })));
+    CHECK(!decodes(request({ "A", longest + "b" })));
+    CHECK(!decodes(ResponseFrame { "r", { 200, { { "A", longest + "b" } }, false, 0 }, {} }));
+    CHECK(decodes(ResponseFrame { "r", { 999, {}, false, 0 }, {} }));
+    CHECK(!decodes(ResponseFrame { "r", { 1000, {}, false, 0 }, {} }));
+    CHECK(!decodes(ResponseFrame { "r", { -1, {}, false, 0 }, {} }));
+}
+
 TEST_CASE("API keys are detected in paths, queries and header fields, and are removed from fields")
 {
     const std::string key = std::string(keyPrefix) + std::string(keyDigits, 'a');
--- a/tarragonhaven/testing/endless_message_test.cc
+++ b/tarragonhaven/testing/endless_message_test.cc
@@ -3,6 +3,7 @@
 #include "tarragonhaven/http_get.h"
 #include "tarragonhaven/target_connection.h"
 #include "tarragonhaven/testing/endless_sender.h"
+#include "tarragonhaven/testing/http_caller.h"
 #include "tarragonhaven/testing/local_fleet.h"
 
 #include <catch2/catch.hpp>
@@ -167,6 +168,28 @@
     }
 }
 
+// Guards against a caller whose request ends the process of the node that reads it.
+TEST_CASE("a caller's request with a long trailer field is served", "[net]")
+{
+    tarragonhaven::testing::LocalFleet fleet(
+        tarragonhaven::testing::FleetOptions { .dataCentres = 1, .instancesPerDataCentre = 1 });
+    fleet.startAll();
+    const auto send = [&fleet](const std::string& rest) {
+        tarragonhaven::testing::HttpCaller caller(fleet.callerAddress(fleet.instances().front()));
+        const auto received = caller.sendRaw("POST /notes HTTP/1.1\r\nHost: t\r\nAuthorization: Bearer "
+                + tarragonhaven::testing::testKey("harbour")
+                + "\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n" + rest,
+            5000);
+        return received.substr(0, received.find('\r'));
+    };
+    for (const auto size : { maximumFieldBytes, maximumFieldBytes + 1, std::size_t { 70'000 } }) {
+        CAPTURE(size);
+        const auto field = "X: " + std::string(size, 'x') + "\r\n";
+        CHECK(send("\r\n5\r\n12345\r\n0\r\n" + field + "\r\n") == "HTTP/1.1 200 OK");
+    }
+    CHECK(send("\r\n5\r\n12345\r\n0\r\n\r\n") == "HTTP/1.1 200 OK");
+}
+
 TEST_CASE("an operator's request that does not end is given up in bounded memory", "[net]")
 {
     tarragonhaven::testing::LocalFleet fleet(
--- a/tarragonhaven/testing/fake_target.cc
+++ b/tarragonhaven/testing/fake_target.cc
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -28,6 +29,7 @@
 
     constexpr std::size_t maxHeaderLines = 20000;
     constexpr std::uint64_t bodyLimitBytes = 64'000'000;
+    constexpr std::size_t longTrailerBytes = 70'000;
 
 } // namespace
 
@@ -269,10 +271,22 @@
             const nlohmann::json body { { "target", m_rep.name }, { "path", path },
                 { "bodyBytes", m_parser->get().body().size() },
                 { "mark", std::string(m_parser->get()["Request-Mark"]) } };
+            if (m_rep.drawFraction() < plan.longTrailerShare)
+                return respondWithLongTrailer(body.dump() + "\n");
             respond(http::status::ok, body.dump() + "\n");
         }
 
-        void respond(http::status status, std::string body)
+        void respondWithLongTrailer(const std::string& body)
+        {
+            beginResponse(http::status::ok);
+            m_response->chunked(true);
+            std::ostringstream text;
+            text << m_response->base() << std::hex << body.size() << "\r\n"
+                 << body << "\r\n0\r\nLong-Trailer: " << std::string(longTrailerBytes, 'x') << "\r\n\r\n";
+            sendRaw(text.str());
+        }
+
+        void beginResponse(http::status status)
         {
             m_response.emplace();
             m_response->result(status);
@@ -284,6 +298,11 @@
             if (!headerNames.signature.empty())
                 m_response->set(headerNames.signature, m_rep.name);
             setNotices(status == http::status::misdirected_request);
+        }
+
+        void respond(http::status status, std::string body)
+        {
+            beginResponse(status);
             const bool keepAlive
                 = m_parser->get().keep_alive() && status != http::status::service_unavailable;
             m_response->keep_alive(keepAlive);
--- a/tarragonhaven/testing/fault_plan.cc
+++ b/tarragonhaven/testing/fault_plan.cc
@@ -15,6 +15,7 @@
     plan.failShare = document.value("failShare", plan.failShare);
     plan.unframedShare = document.value("unframedShare", plan.unframedShare);
     plan.cutShare = document.value("cutShare", plan.cutShare);
+    plan.longTrailerShare = document.value("longTrailerShare", plan.longTrailerShare);
     plan.hang = document.value("hang", plan.hang);
     plan.dropAll = document.value("dropAll", plan.dropAll);
     plan.crashOnPath = document.value("crashOnPath", plan.crashOnPath);
--- a/tarragonhaven/testing/fault_plan.h
+++ b/tarragonhaven/testing/fault_plan.h
@@ -18,6 +18,9 @@
     double unframedShare = 0;
     // The share of responses whose body ends before its announced length.
     double cutShare = 0;
+    // The share of responses that are sent in chunks and followed by a trailer field of 70,000 bytes, after
+    // which the connection is closed.
+    double longTrailerShare = 0;
     // Never responds; closes the connection after an hour.
     bool hang = false;
     // Closes every connection as soon as it has read a request.
--- a/tarragonhaven/testing/guard_exchange_test.cc
+++ b/tarragonhaven/testing/guard_exchange_test.cc
@@ -228,3 +228,21 @@
         }
     }
 }
+
+// Guards against a target whose answer ends the process of the node beside it: Beast throws if it is to store
+// a field of 65,534 bytes or more, and nothing limits the fields after the last chunk.
+TEST_CASE(
+    "a long field after the last chunk of an answer affects neither the process nor the request", "[net]")
+{
+    GuardedScript script([](const ScriptedRequest& request) {
+        const auto size = request.id == "r1" ? 65'533 : request.id == "r2" ? 65'534 : 70'000;
+        return ScriptedAnswer { goodHead(request.id, "Transfer-Encoding: chunked\r\n")
+            + "5\r\n12345\r\n0\r\nX: " + std::string(static_cast<std::size_t>(size), 'x') + "\r\n\r\n" };
+    });
+    for (const auto* id : { "r1", "r2", "r3", "r4" }) {
+        CAPTURE(id);
+        const auto result = script.send(id);
+        CHECK(result.succeeded());
+        CHECK(result.body == "12345");
+    }
+}
