End requests at their deadline while one of their nodes stands still

Cause: the entry waited up to 35 s for each frame of a body, whatever the deadline. The kernel of a suspended process acknowledges, so the limit on unacknowledged data does not end the wait.

Change: the time limits of frames come from the deadline, with a grace of 150 ms, where the deadline covers the body. PeerLink::write() has a limit that its caller states.

Why it works: each wait for the other node, of the entry and of the guard, now ends by the deadline, and frames that keep arriving are counted against the same end.

Ruled out: a timer at the entry alone, which would leave the slot to a guard whose entry stands still; a shorter idle timeout, as a body may pause.

--- a/tarragonhaven/configuration_watcher.cc
+++ b/tarragonhaven/configuration_watcher.cc
@@ -287,7 +287,7 @@
             if (!acquired)
                 return handler(tl::unexpected(GetFailure::Unreachable));
             const auto link = *acquired;
-            link->write(ValueRequestFrame { name }, [this, link, peer, handler](bool written) {
+            link->write(ValueRequestFrame { name }, peerTimeout, [this, link, peer, handler](bool written) {
                 if (!written)
                     return handler(tl::unexpected(GetFailure::Broken));
                 link->read(peerTimeout, [this, link, peer, handler](std::optional<PeerFrame> frame) {
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -5,6 +5,8 @@
 
 #include "tarragonhaven/peer_exchange.h"
 
+#include "tarragonhaven/frame_timeout.h"
+
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -13,11 +15,9 @@
 
 namespace {
 
-    // The time limit for the next frame of a response body.
+    // The time limit for the next frame of a body that no deadline bounds. Longer than that of the guard
+    // node, so that its refusal arrives first.
     constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(35);
-    // The wait for a response beyond the deadline of the request, so that the refusal of the guard node
-    // arrives first.
-    constexpr util::Duration responseGrace = std::chrono::milliseconds(150);
 
     Refusal linkFailure(RunState run, const std::string& detail)
     {
@@ -53,6 +53,16 @@
         m_context.deadline - util::BootClock::now(), std::chrono::milliseconds(1));
 }
 
+util::Duration PeerExchange::headTimeout() const
+{
+    return headFrameTimeout(m_context, util::BootClock::now());
+}
+
+util::Duration PeerExchange::bodyTimeout() const
+{
+    return bodyFrameTimeout(m_context, bodyIdleTimeout, util::BootClock::now());
+}
+
 OpenFrame PeerExchange::makeOpenFrame() const
 {
     const auto now = util::BootClock::now();
@@ -92,24 +102,24 @@
 
 void PeerExchange::sendOpen(OutcomeHandler<void> handler)
 {
-    m_link->write(makeOpenFrame(), [self = shared_from_this(), handler = std::move(handler)](bool written) {
-        if (!written)
-            return handler(tl::unexpected(linkFailure(RunState::NotRun, self->m_link->error())));
-        if (self->m_head.hasBody)
-            return self->awaitOpened(handler);
-        handler({});
-    });
+    m_link->write(makeOpenFrame(), headTimeout(),
+        [self = shared_from_this(), handler = std::move(handler)](bool written) {
+            if (!written)
+                return handler(tl::unexpected(linkFailure(RunState::NotRun, self->m_link->error())));
+            if (self->m_head.hasBody)
+                return self->awaitOpened(handler);
+            handler({});
+        });
 }
 
 void PeerExchange::awaitOpened(const OutcomeHandler<void>& handler)
 {
-    readFrame(
-        remaining() + responseGrace, [self = shared_from_this(), handler](std::optional<PeerFrame> frame) {
-            const auto* opened = frame ? std::get_if<OpenedFrame>(&*frame) : nullptr;
-            if (opened && opened->requestId == self->m_context.requestId)
-                return handler({});
-            handler(tl::unexpected(self->refusalFrom(frame, RunState::NotRun)));
-        });
+    readFrame(headTimeout(), [self = shared_from_this(), handler](std::optional<PeerFrame> frame) {
+        const auto* opened = frame ? std::get_if<OpenedFrame>(&*frame) : nullptr;
+        if (opened && opened->requestId == self->m_context.requestId)
+            return handler({});
+        handler(tl::unexpected(self->refusalFrom(frame, RunState::NotRun)));
+    });
 }
 
 // Reads the next frame of the exchange. A GoodbyeFrame may arrive between the frames; the exchange continues.
@@ -135,7 +145,7 @@
     }
     const bool last = chunk.last;
     m_bodyStarted = true;
-    m_link->write(BodyFrame { m_context.requestId, std::move(chunk) },
+    m_link->write(BodyFrame { m_context.requestId, std::move(chunk) }, bodyTimeout(),
         [self = shared_from_this(), last, handler = std::move(handler)](bool written) {
             if (!written)
                 return handler(tl::unexpected(linkFailure(RunState::Unknown, self->m_link->error())));
@@ -146,7 +156,7 @@
 
 void PeerExchange::readHead(OutcomeHandler<ResponseHead> handler)
 {
-    readFrame(remaining() + responseGrace,
+    readFrame(headTimeout(),
         [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
             const auto* response = frame ? std::get_if<ResponseFrame>(&*frame) : nullptr;
             if (!response || response->requestId != self->m_context.requestId)
@@ -159,7 +169,9 @@
 
 void PeerExchange::readBody(OutcomeHandler<BodyChunk> handler)
 {
-    readFrame(bodyIdleTimeout,
+    if (framesExpired(m_context, util::BootClock::now()))
+        return failLater("no end of the response before the deadline", std::move(handler));
+    readFrame(bodyTimeout(),
         [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
             auto* body = frame ? std::get_if<BodyFrame>(&*frame) : nullptr;
             if (!body || body->requestId != self->m_context.requestId)
@@ -169,6 +181,17 @@
         });
 }
 
+// Frames that keep arriving do not let a read time out, so a response without an end would be read for ever.
+void PeerExchange::failLater(const char* reason, OutcomeHandler<BodyChunk> handler)
+{
+    boost::asio::post(m_pool.io(), [self = shared_from_this(), reason, handler = std::move(handler)] {
+        if (self->m_cancelled)
+            return;
+        self->m_link->close();
+        handler(tl::unexpected(linkFailure(RunState::Unknown, reason)));
+    });
+}
+
 // Returns the refusal that `frame` holds, or a link failure if the frame is missing, unexpected or of another
 // request. After a refusal the link is reused, unless the transfer of the request body has started.
 Refusal PeerExchange::refusalFrom(const std::optional<PeerFrame>& frame, RunState runStateIfLost)
--- a/tarragonhaven/peer_exchange.h
+++ b/tarragonhaven/peer_exchange.h
@@ -34,6 +34,10 @@
     void awaitOpened(const OutcomeHandler<void>& handler);
     [[nodiscard]] OpenFrame makeOpenFrame() const;
     [[nodiscard]] util::Duration remaining() const;
+    // Return the time limits for the next frame: up to the head of the response, and of a body.
+    [[nodiscard]] util::Duration headTimeout() const;
+    [[nodiscard]] util::Duration bodyTimeout() const;
+    void failLater(const char* reason, OutcomeHandler<BodyChunk> handler);
     Refusal refusalFrom(const std::optional<PeerFrame>& frame, RunState runStateIfLost);
     void readFrame(util::Duration timeout, PeerLink::FrameHandler handler);
     // Returns the link to the pool if the response is complete and the request was sent completely.
--- a/tarragonhaven/peer_link.cc
+++ b/tarragonhaven/peer_link.cc
@@ -21,8 +21,6 @@
     using boost::system::error_code;
     using tcp = asio::ip::tcp;
 
-    constexpr util::Duration writeTimeout = std::chrono::seconds(30);
-
 } // namespace
 
 class PeerLink::Rep : public std::enable_shared_from_this<PeerLink::Rep> {
@@ -46,7 +44,7 @@
                     return done(false);
                 }
                 setPeerTimeout(self->m_stream.socket(), unresponsiveTimeout);
-                self->write(self->m_localHello, [self, timeout, done](bool written) {
+                self->write(self->m_localHello, timeout, [self, timeout, done](bool written) {
                     if (!written)
                         return done(false);
                     self->readHello(timeout, done);
@@ -57,17 +55,17 @@
     void accept(util::Duration timeout, CompletionHandler done)
     {
         setPeerTimeout(m_stream.socket(), unresponsiveTimeout);
-        readHello(timeout, [self = shared_from_this(), done = std::move(done)](bool accepted) {
+        readHello(timeout, [self = shared_from_this(), timeout, done = std::move(done)](bool accepted) {
             if (!accepted)
                 return done(false);
-            self->write(self->m_localHello, done);
+            self->write(self->m_localHello, timeout, done);
         });
     }
 
-    void write(const PeerFrame& frame, CompletionHandler done)
+    void write(const PeerFrame& frame, util::Duration timeout, CompletionHandler done)
     {
         m_writeBuffer = encodeFrame(frame);
-        m_stream.expires_after(writeTimeout);
+        m_stream.expires_after(timeout);
         asio::async_write(m_stream, asio::buffer(m_writeBuffer),
             [self = shared_from_this(), done = std::move(done)](error_code error, std::size_t) {
                 if (self->m_closed)
@@ -205,7 +203,10 @@
     m_rep->accept(timeout, std::move(done));
 }
 
-void PeerLink::write(const PeerFrame& frame, CompletionHandler done) { m_rep->write(frame, std::move(done)); }
+void PeerLink::write(const PeerFrame& frame, util::Duration timeout, CompletionHandler done)
+{
+    m_rep->write(frame, timeout, std::move(done));
+}
 
 void PeerLink::read(util::Duration timeout, FrameHandler handler)
 {
--- a/tarragonhaven/peer_link.h
+++ b/tarragonhaven/peer_link.h
@@ -35,8 +35,9 @@
     void connect(const Endpoint& endpoint, util::Duration timeout, CompletionHandler done);
     // Waits for the HelloFrame of the peer that has connected, checks it and sends this node's.
     void accept(util::Duration timeout, CompletionHandler done);
-    // Writes one frame. `done` receives whether the frame was written completely.
-    void write(const PeerFrame& frame, CompletionHandler done);
+    // Writes one frame. The link fails if the frame is not written completely within `timeout`. `done`
+    // receives whether it was.
+    void write(const PeerFrame& frame, util::Duration timeout, CompletionHandler done);
     // Reads the next frame. The link fails if the frame does not arrive within `timeout`.
     void read(util::Duration timeout, FrameHandler handler);
     void close();
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -1,5 +1,6 @@
 #include "tarragonhaven/peer_session.h"
 
+#include "tarragonhaven/frame_timeout.h"
 #include "tarragonhaven/relay.h"
 
 #include <utility>
@@ -11,8 +12,10 @@
     constexpr util::Duration helloTimeout = std::chrono::seconds(5);
     // The time after which a link without requests is closed.
     constexpr util::Duration idleTimeout = std::chrono::minutes(10);
-    // The time limit for the next frame of a request body.
+    // The time limit for the next frame of a body that no deadline bounds.
     constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(30);
+    // The time limit for writing a frame that belongs to no request in progress.
+    constexpr util::Duration writeTimeout = std::chrono::seconds(3);
 
 } // namespace
 
@@ -35,7 +38,7 @@
 {
     m_stopping = true;
     if (!m_requestActive)
-        m_link->write(GoodbyeFrame {}, [self = shared_from_this()](bool) {});
+        m_link->write(GoodbyeFrame {}, writeTimeout, [self = shared_from_this()](bool) {});
 }
 
 void PeerSession::close()
@@ -61,7 +64,7 @@
     if (const auto* open = std::get_if<OpenFrame>(&frame))
         return handleOpenFrame(*open);
     if (const auto* request = std::get_if<ValueRequestFrame>(&frame)) {
-        m_link->write(m_host.value(request->name), [self = shared_from_this()](bool written) {
+        m_link->write(m_host.value(request->name), writeTimeout, [self = shared_from_this()](bool written) {
             if (!written)
                 return self->disconnect();
             self->readNextRequest();
@@ -74,12 +77,21 @@
 void PeerSession::handleOpenFrame(const OpenFrame& frame)
 {
     m_requestActive = true;
-    m_requestId = frame.requestId;
+    m_context = contextOf(frame);
     m_requestBodyPending = frame.head.hasBody;
     m_target = m_host.guard().find({ frame.target });
     if (!m_target)
         return refuse({ RefusalReason::NoTarget, RunState::NotRun, util::Duration {},
             "this node does not guard the target" });
+    m_exchange = std::make_shared<GuardExchange>(m_target, m_context, frame.head);
+    if (!m_requestBodyPending)
+        watchForEntryDisconnect();
+    std::make_shared<Relay<PeerSession, GuardExchange>>(shared_from_this(), m_exchange, frame.head.hasBody)
+        ->start();
+}
+
+RequestContext PeerSession::contextOf(const OpenFrame& frame) const
+{
     RequestContext context;
     context.requestId = frame.requestId;
     context.organisation = { frame.organisation };
@@ -94,11 +106,12 @@
         context.queueDeadline = util::BootClock::now() + std::chrono::microseconds(frame.queueTimeoutUs);
     context.bypassesBreaker = frame.bypassesBreaker;
     context.knownTargetLimit = frame.knownTargetLimit;
-    m_exchange = std::make_shared<GuardExchange>(m_target, std::move(context), frame.head);
-    if (!m_requestBodyPending)
-        watchForEntryDisconnect();
-    std::make_shared<Relay<PeerSession, GuardExchange>>(shared_from_this(), m_exchange, frame.head.hasBody)
-        ->start();
+    return context;
+}
+
+util::Duration PeerSession::bodyTimeout() const
+{
+    return bodyFrameTimeout(m_context, bodyIdleTimeout, util::BootClock::now());
 }
 
 // Cancels the request when the entry node closes the link, which it does when its caller disconnects.
@@ -117,15 +130,15 @@
 {
     if (!m_requestBodyPending)
         return handler(true);
-    m_link->write(OpenedFrame { m_requestId }, std::move(handler));
+    m_link->write(OpenedFrame { m_context.requestId }, bodyTimeout(), std::move(handler));
 }
 
 void PeerSession::readBody(std::function<void(bool, BodyChunk)> handler)
 {
-    m_link->read(bodyIdleTimeout,
+    m_link->read(bodyTimeout(),
         [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
             auto* body = frame ? std::get_if<BodyFrame>(&*frame) : nullptr;
-            const bool matchesRequest = body && body->requestId == self->m_requestId;
+            const bool matchesRequest = body && body->requestId == self->m_context.requestId;
             if (!matchesRequest) {
                 handler(false, {});
                 return self->disconnect();
@@ -139,12 +152,13 @@
 
 void PeerSession::writeHead(const ResponseHead& head, std::function<void(bool)> handler)
 {
-    m_link->write(ResponseFrame { m_requestId, head, m_target->report() }, std::move(handler));
+    m_link->write(
+        ResponseFrame { m_context.requestId, head, m_target->report() }, bodyTimeout(), std::move(handler));
 }
 
 void PeerSession::writeBody(BodyChunk chunk, std::function<void(bool)> handler)
 {
-    m_link->write(BodyFrame { m_requestId, std::move(chunk) }, std::move(handler));
+    m_link->write(BodyFrame { m_context.requestId, std::move(chunk) }, bodyTimeout(), std::move(handler));
 }
 
 void PeerSession::refuse(const Refusal& refusal) { sendRefusal(refusal); }
@@ -154,17 +168,18 @@
 void PeerSession::sendRefusal(const Refusal& refusal)
 {
     const auto report = m_target ? m_target->report() : TargetReport {};
-    m_link->write(toRefusedFrame(m_requestId, refusal, report), [self = shared_from_this()](bool written) {
-        if (!written)
-            return self->disconnect();
-        self->finish();
-    });
+    m_link->write(toRefusedFrame(m_context.requestId, refusal, report), writeTimeout,
+        [self = shared_from_this()](bool written) {
+            if (!written)
+                return self->disconnect();
+            self->finish();
+        });
 }
 
 void PeerSession::finish()
 {
     if (m_stopping) {
-        m_link->write(GoodbyeFrame {}, [self = shared_from_this()](bool written) {
+        m_link->write(GoodbyeFrame {}, writeTimeout, [self = shared_from_this()](bool written) {
             if (!written)
                 return self->disconnect();
             self->readNextRequest();
--- a/tarragonhaven/peer_session.h
+++ b/tarragonhaven/peer_session.h
@@ -49,6 +49,8 @@
     void readNextRequest();
     void handleFrame(const PeerFrame& frame);
     void handleOpenFrame(const OpenFrame& frame);
+    [[nodiscard]] RequestContext contextOf(const OpenFrame& frame) const;
+    [[nodiscard]] util::Duration bodyTimeout() const;
     void watchForEntryDisconnect();
     void sendRefusal(const Refusal& refusal);
     void disconnect();
@@ -57,7 +59,8 @@
     std::shared_ptr<PeerLink> m_link;
     std::shared_ptr<GuardExchange> m_exchange;
     std::shared_ptr<GuardedTarget> m_target;
-    std::string m_requestId;
+    // The request in progress, or the latest one.
+    RequestContext m_context;
     bool m_requestBodyPending = false;
     bool m_stopping = false;
     bool m_requestActive = false;
