Ignore the body of a request that was ended for the stop of its node

What callers would see: at the end of the grace period, a node ends what is left. If a part of a long body arrived just then, the process crashed and cut the responses that were still being written.

Cause: the relay passed the part on to the cancelled exchange, which has no connection any more. Besides, on a connection that is kept, the rest of the body was read by the relay and discarded by the session at the same time.

Change: a cancelled EntryExchange ignores further calls. A request that is ended while its body is being read closes its connection.

--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -493,6 +493,8 @@
         return;
     const auto run = m_rep->exchange->mayHaveRun() ? RunState::Unknown : RunState::NotRun;
     m_rep->exchange->cancel();
+    // The rest of the body cannot be discarded while a part of it is being read.
+    m_rep->closeAfterResponse = m_rep->closeAfterResponse || m_rep->bodyRemaining;
     refuse({ run == RunState::NotRun ? RefusalReason::Stopping : RefusalReason::TargetTimeout, run,
         util::Duration {}, "the node is stopping" });
 }
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -260,8 +260,11 @@
     return refusal;
 }
 
+// A part of the body may arrive from the caller after the exchange was cancelled.
 void EntryExchange::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
 {
+    if (m_cancelled)
+        return;
     m_sendStarted = true;
     m_sentBodyBytes += chunk.data.size();
     if (m_sentBodyBytes <= replayBodyLimitBytes)
@@ -273,6 +276,8 @@
 
 void EntryExchange::readHead(OutcomeHandler<ResponseHead> handler)
 {
+    if (m_cancelled)
+        return;
     m_awaitsHead = true;
     withAttempt([&](auto& attempt) {
         attempt.readHead([self = shared_from_this(), handler](
@@ -517,6 +522,8 @@
 
 void EntryExchange::readBody(OutcomeHandler<BodyChunk> handler)
 {
+    if (m_cancelled)
+        return;
     if (m_bufferedBody.empty())
         return withAttempt([&](auto& attempt) { attempt.readBody(std::move(handler)); });
     auto chunk = std::move(m_bufferedBody.front());
