End requests at their deadline when their caller stops sending or reading

What callers saw: a caller that stopped in the middle of a body of over 64 kB held the slot of a target for 30 s (sending) or 60 s (reading a response of over 1 MB), and got no answer at its deadline. Others waited for that slot.

Change: where the deadline covers the response, the session of the caller ends the request 250 ms after it, later than any other node does: with a refusal if the response has not begun, else by closing the connection. A response that was received completely is still delivered.

Evidence: slow_caller_test; the tests of both directions failed before (no answer, slot in use), the one of a complete response passed.

Ruled out: a shorter limit for reads and writes, which closes the connection before the refusal could be written.

--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -11,6 +11,7 @@
 #include "tarragonhaven/relay.h"
 
 #include <absl/strings/str_format.h>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -36,6 +37,8 @@
     // Added to the declared idle and head timeouts, so that a request that is sent just before the timeout is
     // still accepted.
     constexpr util::Duration timeoutMargin = std::chrono::milliseconds(500);
+    // Longer than the grace of frames between nodes, so that what other nodes say of a request goes first.
+    constexpr util::Duration deadlineGrace = std::chrono::milliseconds(250);
     constexpr std::size_t readAheadBytes = 4096;
     constexpr std::size_t maximumTargetBytes = 8 * 1024;
     // What the buffer may hold beyond a request head of the maximum size: pipelined requests, and chunk
@@ -79,6 +82,7 @@
     Rep(Entry& sharedEntry, tcp::socket socket, EndHandler handler)
         : entry(sharedEntry)
         , stream(std::move(socket))
+        , deadlineTimer(stream.get_executor())
         , onEnd(std::move(handler))
     {
     }
@@ -89,6 +93,8 @@
     void readNextRequest(const Self& self)
     {
         relaying = false;
+        ++requestNumber;
+        deadlineTimer.cancel();
         acceptedRequest.reset();
         prefetchedBody.clear();
         refusalStarted = false;
@@ -192,6 +198,8 @@
     void beginExchange(const Self& self)
     {
         const bool hasBody = acceptedRequest->head.hasBody;
+        if (acceptedRequest->context.deadlineCoversBody)
+            startDeadlineTimer(self, acceptedRequest->context.deadline);
         exchange = std::make_shared<EntryExchange>(entry, std::move(*acceptedRequest));
         acceptedRequest.reset();
         if (!bodyRemaining)
@@ -199,6 +207,45 @@
         std::make_shared<Relay<CallerSession, EntryExchange>>(self, exchange, hasBody)->start();
     }
 
+    void startDeadlineTimer(const Self& self, util::Time deadline)
+    {
+        const auto remaining = std::max<util::Duration>(deadline - util::BootClock::now(), {});
+        deadlineTimer.expires_after(remaining + deadlineGrace);
+        // A timer that has expired cannot be cancelled any more, so its handler may run during the next
+        // request.
+        deadlineTimer.async_wait(
+            [this, weak = std::weak_ptr<CallerSession>(self), number = requestNumber](error_code error) {
+                const auto session = weak.lock();
+                if (!error && session && relaying && number == requestNumber)
+                    onDeadline(session);
+            });
+    }
+
+    // Ends a request that waits for its caller to send or read a part of a body, since it holds a slot
+    // meanwhile. A response that the exchange has received completely is still delivered.
+    void onDeadline(const Self& self)
+    {
+        if (!response)
+            return abandonRequest(self, RefusalReason::QueueTimeout, "not complete at its deadline");
+        if (!exchange->responseReceived())
+            self->abort({ RefusalReason::TargetTimeout, RunState::Unknown, util::Duration {},
+                "the response was not complete at the deadline" });
+    }
+
+    // Refuses the request in progress, unless its response has begun. `reasonIfNotRun` is the reason if no
+    // target can have run it.
+    void abandonRequest(const Self& self, RefusalReason reasonIfNotRun, const char* detail)
+    {
+        if (!relaying || !exchange || response || refusalStarted)
+            return;
+        const auto run = exchange->mayHaveRun() ? RunState::Unknown : RunState::NotRun;
+        exchange->cancel();
+        // The rest of the body cannot be discarded while a part of it is being read.
+        closeAfterResponse = closeAfterResponse || bodyRemaining;
+        self->refuse({ run == RunState::NotRun ? reasonIfNotRun : RefusalReason::TargetTimeout, run,
+            util::Duration {}, detail });
+    }
+
     void nextBodyChunk(const Self& self, std::function<void(bool, BodyChunk)> handler)
     {
         if (prefetchedBody.empty())
@@ -423,6 +470,7 @@
             return;
         closed = true;
         closeWatch.stop();
+        deadlineTimer.cancel();
         error_code ignored;
         stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
         stream.close();
@@ -434,6 +482,7 @@
 
     Entry& entry;
     beast::tcp_stream stream;
+    asio::steady_timer deadlineTimer;
     EndHandler onEnd;
     beast::flat_buffer buffer;
     std::optional<Parser> parser;
@@ -451,6 +500,7 @@
     std::string keyDigest;
     OrganisationName organisation;
     std::size_t discardedBytes = 0;
+    unsigned long requestNumber = 0;
     bool relaying = false;
     bool refusalStarted = false;
     bool readingHead = false;
@@ -489,14 +539,7 @@
 
 void CallerSession::abandonRequest()
 {
-    if (!m_rep->relaying || !m_rep->exchange || m_rep->response || m_rep->refusalStarted)
-        return;
-    const auto run = m_rep->exchange->mayHaveRun() ? RunState::Unknown : RunState::NotRun;
-    m_rep->exchange->cancel();
-    // The rest of the body cannot be discarded while a part of it is being read.
-    m_rep->closeAfterResponse = m_rep->closeAfterResponse || m_rep->bodyRemaining;
-    refuse({ run == RunState::NotRun ? RefusalReason::Stopping : RefusalReason::TargetTimeout, run,
-        util::Duration {}, "the node is stopping" });
+    m_rep->abandonRequest(shared_from_this(), RefusalReason::Stopping, "the node is stopping");
 }
 
 void CallerSession::close() { m_rep->endSession(shared_from_this()); }
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -466,6 +466,7 @@
             return retry(handler);
         }
     }
+    m_responseReceived = !head.hasBody || (!m_bufferedBody.empty() && m_bufferedBody.back().last);
     settleAdmission(IdempotencyOutcome::Completed, head.status);
     const auto& context = m_request.context;
     const auto requestClass = context.rank == internalRequestRank ? RequestClass::FromTarget
@@ -515,6 +516,7 @@
     if (!m_fallbackResponse)
         return handler(tl::unexpected(finalRefusal(refusal)));
     m_bufferedBody = std::move(m_fallbackResponse->body);
+    m_responseReceived = true;
     settleAdmission(IdempotencyOutcome::Completed, m_fallbackResponse->head.status);
     logResponse(m_fallbackResponse->head.status);
     handler(m_fallbackResponse->head);
@@ -524,8 +526,15 @@
 {
     if (m_cancelled)
         return;
-    if (m_bufferedBody.empty())
-        return withAttempt([&](auto& attempt) { attempt.readBody(std::move(handler)); });
+    if (m_bufferedBody.empty()) {
+        return withAttempt([&](auto& attempt) {
+            attempt.readBody(
+                [self = shared_from_this(), handler = std::move(handler)](Outcome<BodyChunk> chunk) {
+                    self->m_responseReceived = chunk && chunk->last;
+                    handler(std::move(chunk));
+                });
+        });
+    }
     auto chunk = std::move(m_bufferedBody.front());
     m_bufferedBody.pop_front();
     boost::asio::post(m_entry.dependencies().io,
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -38,6 +38,9 @@
     void cancel();
     // Returns whether a target may have received the request.
     [[nodiscard]] bool mayHaveRun() const { return m_sendStarted || m_unknownOutcome.has_value(); }
+    // Returns whether the response has been read completely, so that no target or node is needed to deliver
+    // it.
+    [[nodiscard]] bool responseReceived() const { return m_responseReceived; }
 
 private:
     using Attempt
@@ -129,6 +132,7 @@
     // Whether the attempt in progress waits for its response. A timer that has expired cannot be cancelled
     // any more, so its handler may run after the response has arrived.
     bool m_awaitsHead = false;
+    bool m_responseReceived = false;
     bool m_cancelled = false;
     util::Time m_started;
 };
--- a/tarragonhaven/testing/slow_caller_test.cc
+++ b/tarragonhaven/testing/slow_caller_test.cc
@@ -2,10 +2,12 @@
 
 #include "tarragonhaven/testing/entry_node.h"
 #include "tarragonhaven/testing/fake_target.h"
+#include "tarragonhaven/testing/http_caller.h"
 #include "tarragonhaven/testing/local_fleet.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <thread>
@@ -17,6 +19,8 @@
     using tcp = boost::asio::ip::tcp;
 
     constexpr auto deadline = std::chrono::milliseconds(1000);
+    // When a request must have ended whose caller has stopped.
+    constexpr auto endOfWait = deadline + std::chrono::milliseconds(500);
 
     std::string requestHead(const std::string& line, std::size_t bodyBytes)
     {
@@ -55,8 +59,62 @@
         return socket;
     }
 
+    // Reads until the connection ends, and returns the number of bytes.
+    std::size_t readToEnd(tcp::socket& socket)
+    {
+        std::string received;
+        boost::system::error_code error;
+        return boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+    }
+
 } // namespace
 
+// Guards against a slot that a request holds past its deadline, because its caller has stopped sending its
+// body.
+TEST_CASE("a request whose body does not arrive gets an answer at its deadline and frees its slot", "[net]")
+{
+    Node fleet(options());
+    HttpCaller caller(fleet.node.callerAddress());
+    const auto started = util::BootClock::now();
+    const auto answer = caller.sendRaw(requestHead("POST /notes", 1'000'000) + std::string(100'000, 'b'),
+        static_cast<int>(endOfWait.count()));
+    const auto elapsed = util::BootClock::now() - started;
+    CHECK(answer.substr(0, 12) == "HTTP/1.1 504");
+    CHECK(elapsed >= deadline);
+    CHECK(elapsed < endOfWait);
+    CHECK(fleet.node.slotsInUse() == 0);
+}
+
+// Guards against a slot that a request holds past its deadline, because its caller has stopped reading.
+TEST_CASE("a streamed response that is not read is broken off at the deadline and frees its slot", "[net]")
+{
+    Node fleet(options());
+    boost::asio::io_context io;
+    auto socket = connect(io, fleet.node.callerAddress());
+    boost::asio::write(socket, boost::asio::buffer(requestHead("GET /status/bytes/30000000", 0)));
+    std::this_thread::sleep_for(deadline / 2);
+    CHECK(fleet.node.slotsInUse() == 1);
+    std::this_thread::sleep_for(endOfWait - deadline / 2);
+    CHECK(fleet.node.slotsInUse() == 0);
+    CHECK(readToEnd(socket) < 30'000'000);
+}
+
+TEST_CASE(
+    "a response that is complete before the deadline is delivered to a caller that reads it later", "[net]")
+{
+    Node fleet(options());
+    boost::asio::io_context io;
+    auto socket = connect(io, fleet.node.callerAddress());
+    const std::size_t size = 1'000'000;
+    const auto request = requestHead("GET /status/bytes/1000000", 0);
+    boost::asio::write(socket,
+        boost::asio::buffer("GET /status/bytes/1000000 HTTP/1.1\r\nConnection: close\r\n"
+            + request.substr(request.find("Host"))));
+    std::this_thread::sleep_for(endOfWait);
+    CHECK(fleet.node.slotsInUse() == 0);
+    CHECK(readToEnd(socket) > size);
+}
+
 // Guards against a crash: the rest of a request's body arrives just after the request was ended for the stop
 // of its node.
 TEST_CASE("a body that arrives as its request is abandoned is ignored", "[net]")
