Hold back requests that crash each target that runs them

Cause: nothing recognised the request. What fails was held against the target only.

Change: nodes recognise a request by a fingerprint of its service, organisation, method, path and body. A guard detects the crash of its target and tells all nodes which requests were running. A request that was running at three crashes and answered by no target meanwhile is refused with 503, "not run" and Retry-After, at the entry and at the guard, for 2 min and then for twice as long. A suspect is not retried or hedged.

Why it works: a request that crashes targets is never answered; those that ran beside it are, which clears them at all nodes.

Evidence: with requests never held back, crash_suspects_test and crash_containment_test fail.

--- a/tarragonhaven/attempt_record.h
+++ b/tarragonhaven/attempt_record.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/refusal.h"
+#include "tarragonhaven/request_fingerprint.h"
 #include "tarragonhaven/target_notice.h"
 #include "util/time.h"
 
@@ -14,6 +15,7 @@
 // duration of each stage, and the result.
 struct AttemptRecord {
     std::string requestId;
+    RequestFingerprint fingerprint;
     TargetName target;
     // The entry node that sent the request; empty if the guard is the entry node itself.
     InstanceName entry;
--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -198,8 +198,13 @@
     void beginExchange(const Self& self)
     {
         const bool hasBody = acceptedRequest->head.hasBody;
-        if (acceptedRequest->context.deadlineCoversBody)
-            startDeadlineTimer(self, acceptedRequest->context.deadline);
+        auto& context = acceptedRequest->context;
+        // The body of a request that waits for "100 Continue" is not known yet.
+        if (!bodyRemaining || !expectsContinue)
+            context.fingerprint = fingerprintOf(
+                context.service, context.organisation, acceptedRequest->head, prefetchedText());
+        if (context.deadlineCoversBody)
+            startDeadlineTimer(self, context.deadline);
         exchange = std::make_shared<EntryExchange>(entry, std::move(*acceptedRequest));
         acceptedRequest.reset();
         if (!bodyRemaining)
@@ -207,6 +212,14 @@
         std::make_shared<Relay<CallerSession, EntryExchange>>(self, exchange, hasBody)->start();
     }
 
+    [[nodiscard]] std::string prefetchedText() const
+    {
+        std::string text;
+        for (const auto& chunk : prefetchedBody)
+            text += chunk.data;
+        return text;
+    }
+
     void startDeadlineTimer(const Self& self, util::Time deadline)
     {
         const auto remaining = std::max<util::Duration>(deadline - util::BootClock::now(), {});
--- a/tarragonhaven/control_core.h
+++ b/tarragonhaven/control_core.h
@@ -118,6 +118,11 @@
         const Endpoint& source, const ControlEnvelope& envelope, const IdempotencyVerdictMessage& message);
     void handle(const Endpoint& source, const ControlEnvelope& envelope, const LeavingMessage& message);
     void handle(const Endpoint& source, const ControlEnvelope& envelope, const TargetReportMessage& message);
+    template <SuspectMessage Message>
+    void handle(const Endpoint&, const ControlEnvelope& envelope, const Message& message)
+    {
+        m_replies.push_back(SuspectsReceived { envelope.from, message });
+    }
     // Ignored: only nodes that discover their targets exchange these messages, and they run no ControlCore.
     void handle(const Endpoint&, const ControlEnvelope&, const QuotaReportMessage&) { }
     void handle(const Endpoint&, const ControlEnvelope&, const RemoteQuotaUsageMessage&) { }
@@ -130,6 +135,7 @@
     void handleRequest(const IdempotencyBeginRequest& request);
     void handleRequest(const IdempotencyEndRequest& request);
     void handleRequest(const SendTargetReportRequest& request);
+    void handleRequest(const SendSuspectsRequest& request);
     void handleRequest(const StopRequest& request);
 
     // A token request of this node that has not been answered yet.
--- a/tarragonhaven/control_core_impl.h
+++ b/tarragonhaven/control_core_impl.h
@@ -354,6 +354,18 @@
     }
 }
 
+template <util::Clock ClockType, typename Random>
+void ControlCore<ClockType, Random>::handleRequest(const SendSuspectsRequest& request)
+{
+    if (!m_configuration)
+        return;
+    for (const auto& instance : m_configuration->index().instances) {
+        const bool addressed = request.to.text.empty() || instance.name == request.to;
+        if (addressed && instance.name != m_identity.self)
+            send(instance.peerAddress, request.message);
+    }
+}
+
 template <util::Clock ClockType, typename Random>
 void ControlCore<ClockType, Random>::handleRequest(const StopRequest&)
 {
--- a/tarragonhaven/control_exchange.h
+++ b/tarragonhaven/control_exchange.h
@@ -47,11 +47,17 @@
     TargetReport report;
     std::vector<InstanceName> entries;
 };
+// Sends a message about suspects to another node, or to all if none is named.
+struct SendSuspectsRequest {
+    ControlMessage message;
+    InstanceName to;
+};
 // Makes the control thread notify all peers that this node is stopping.
 struct StopRequest { };
 
-using ControlRequest = std::variant<std::monostate, FetchTokensRequest, ReturnTokensRequest,
-    IdempotencyBeginRequest, IdempotencyEndRequest, SendTargetReportRequest, StopRequest>;
+using ControlRequest
+    = std::variant<std::monostate, FetchTokensRequest, ReturnTokensRequest, IdempotencyBeginRequest,
+        IdempotencyEndRequest, SendTargetReportRequest, SendSuspectsRequest, StopRequest>;
 
 // Replies of the control thread.
 
@@ -72,6 +78,11 @@
     TargetName target;
     TargetReport report;
 };
+// Another node has sent what it knows of suspects.
+struct SuspectsReceived {
+    InstanceName from;
+    ControlMessage message;
+};
 // The state of the fleet as this node knows it. Sent whenever it changes.
 struct FleetView {
     // Instances whose node has announced that it is stopping.
@@ -89,8 +100,8 @@
     friend bool operator==(const FleetView&, const FleetView&) = default;
 };
 
-using ControlReply
-    = std::variant<std::monostate, TokenGrantReply, IdempotencyReply, TargetReportReceived, FleetView>;
+using ControlReply = std::variant<std::monostate, TokenGrantReply, IdempotencyReply, TargetReportReceived,
+    SuspectsReceived, FleetView>;
 
 // A message and the address to send it to.
 struct ControlDatagram {
--- a/tarragonhaven/control_message.h
+++ b/tarragonhaven/control_message.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "tarragonhaven/crash_suspects.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/quota_usage.h"
 #include "tarragonhaven/revision.h"
 #include "tarragonhaven/target_report.h"
 
 #include <compare>
+#include <concepts>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <optional>
@@ -217,10 +219,52 @@
     friend bool operator==(const QuotaQueryMessage&, const QuotaQueryMessage&) = default;
 };
 
+// A guard reports that its target has crashed, and what it knows of the requests that the target was running.
+struct CrashReportMessage {
+    std::string target;
+    // See TargetCrash.
+    std::int64_t detectedAt = 0;
+    std::vector<SuspectState> suspects;
+    MSGPACK_DEFINE_ARRAY(target, detectedAt, suspects);
+
+    friend bool operator==(const CrashReportMessage&, const CrashReportMessage&) = default;
+};
+
+// A node that has started asks what others know of requests that crash targets.
+struct SuspectQueryMessage {
+    // The number of suspects that are wanted at most.
+    int count = 0;
+    MSGPACK_DEFINE_ARRAY(count);
+
+    friend bool operator==(const SuspectQueryMessage&, const SuspectQueryMessage&) = default;
+};
+
+// Replies to a SuspectQueryMessage, and to a CrashReportMessage if the sender knows more of some of the
+// requests.
+struct SuspectStateMessage {
+    std::vector<SuspectState> suspects;
+    MSGPACK_DEFINE_ARRAY(suspects);
+
+    friend bool operator==(const SuspectStateMessage&, const SuspectStateMessage&) = default;
+};
+
+// A target has answered these requests, so they do not crash targets.
+struct SuspectAnsweredMessage {
+    std::vector<RequestFingerprint> fingerprints;
+    MSGPACK_DEFINE_ARRAY(fingerprints);
+
+    friend bool operator==(const SuspectAnsweredMessage&, const SuspectAnsweredMessage&) = default;
+};
+
+// The messages about requests that crash targets.
+template <typename T>
+concept SuspectMessage = std::same_as<T, CrashReportMessage> || std::same_as<T,
+    SuspectStateMessage> || std::same_as<T, SuspectAnsweredMessage> || std::same_as<T, SuspectQueryMessage>;
+
 using ControlMessage = std::variant<PingMessage, PongMessage, TokenRequestMessage, TokenGrantMessage,
     TokenReturnMessage, IdempotencyBeginMessage, IdempotencyEndMessage, IdempotencyVerdictMessage,
     LeavingMessage, TargetReportMessage, QuotaReportMessage, RemoteQuotaUsageMessage, QuotaQueryMessage,
-    TargetStateMessage>;
+    TargetStateMessage, CrashReportMessage, SuspectStateMessage, SuspectAnsweredMessage, SuspectQueryMessage>;
 
 // A message together with its sender and the sender's fleet.
 struct ControlEnvelope {
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -96,6 +96,8 @@
 
 void EntryExchange::startAttempt(OutcomeHandler<void> handler)
 {
+    if (const auto refusal = containment().refusalFor(m_request.context.fingerprint))
+        return handler(tl::unexpected(finalRefusal(*refusal)));
     const auto choice = choose();
     logChoice(choice);
     if (!choice.target || !createAttempt(*choice.target)) {
@@ -188,6 +190,10 @@
         return "the caller has disconnected";
     if (refusal.run != RunState::NotRun && !m_request.context.idempotent)
         return "it may have run";
+    if (refusal.reason == RefusalReason::CrashesTargets)
+        return "it is held back";
+    if (refusal.run != RunState::NotRun && containment().isSuspect(m_request.context.fingerprint))
+        return "it may crash targets";
     if (!canReplayBody())
         return "its body was not retained completely";
     if (now + minimumAttemptTime >= m_request.context.deadline)
@@ -226,6 +232,7 @@
 void EntryExchange::recordRefusal(const TargetName& target, const Refusal& refusal)
 {
     m_planner.recordRefusal(target, refusal.reason);
+    containment().recordRefusal(m_request.context.fingerprint, refusal);
     if (refusal.reason == RefusalReason::NoFreeSlot || refusal.reason == RefusalReason::TargetSuspect)
         return;
     if (refusal.reason == RefusalReason::PeerUnreachable) {
@@ -293,6 +300,7 @@
     // The attempt in progress and the hedge may both run the request.
     const bool mayRunTwice = m_possibleRuns + 2 <= m_request.route.attempts;
     return context.idempotent && bodyKept && mayRunTwice && m_awaitsHead && !m_hedgeStarted && !m_cancelled
+        && !containment().isSuspect(context.fingerprint)
         && util::BootClock::now() + minimumAttemptTime < context.deadline;
 }
 
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -62,6 +62,7 @@
         bool mayHaveRun = true;
     };
 
+    [[nodiscard]] CrashContainment& containment() const { return m_entry.dependencies().guard.containment(); }
     void startAttempt(OutcomeHandler<void> handler);
     TargetChoice choose();
     bool createAttempt(const Target& target);
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -16,8 +16,20 @@
     : m_io(io)
     , m_self(std::move(self))
     , m_incarnation(incarnation)
+    , m_containment(io)
     , m_options(std::move(options))
 {
+    m_options.onConnectionLost = [this](const std::shared_ptr<GuardedTarget>& target,
+                                     RequestFingerprint fingerprint) {
+        const auto& record = target->target();
+        const auto hasOpenConnection = [weak = std::weak_ptr(target)] {
+            const auto locked = weak.lock();
+            return locked && locked->hasOpenConnection();
+        };
+        m_containment.recordConnectionLost({ record.name, record.address, hasOpenConnection }, fingerprint);
+    };
+    m_options.onAnswered
+        = [this](RequestFingerprint fingerprint) { m_containment.recordAnswer(fingerprint); };
 }
 
 std::shared_ptr<GuardedTarget> Guard::takeKnown(
@@ -83,6 +95,7 @@
         const auto found = m_dataCentres.find(instance);
         return found == m_dataCentres.end() ? DataCentreName {} : found->second;
     };
+    m_containment.tick();
     std::vector<ReportNotification> notifications;
     for (const auto& [name, target] : m_targets) {
         target->tick();
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/control_message.h"
+#include "tarragonhaven/crash_containment.h"
 #include "tarragonhaven/directory.h"
 #include "tarragonhaven/guarded_target.h"
 
@@ -13,7 +14,8 @@
 namespace tarragonhaven {
 
 // The targets that this node guards. All traffic to a target goes through its guard, so the guard alone
-// assigns its slots and keeps its breaker. Not thread-safe: runs on the thread of `io`.
+// assigns its slots and keeps its breaker, and sees when it crashes. Not thread-safe: runs on the thread of
+// `io`.
 class Guard {
 public:
     Guard(
@@ -45,6 +47,9 @@
     // Returns the changes since the last call, for the log.
     std::vector<BreakerChange> takeBreakerChanges();
 
+    [[nodiscard]] CrashContainment& containment() { return m_containment; }
+    [[nodiscard]] const CrashContainment& containment() const { return m_containment; }
+
     // Refuses requests whose queue timeout has passed, and returns the reports that are due. Must be called
     // every few milliseconds.
     std::vector<ReportNotification> tick();
@@ -72,6 +77,7 @@
     boost::asio::io_context& m_io;
     InstanceName m_self;
     std::uint64_t m_incarnation;
+    CrashContainment m_containment;
     GuardOptions m_options;
     bool m_draining = false;
     // The position in the store's history up to which the applied directory is complete.
--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -65,12 +65,21 @@
     onAttempt(m_record);
 }
 
+void GuardExchange::reportEnd(const std::optional<Refusal>& failure) const
+{
+    const auto& options = m_target->options();
+    if (!failure && options.onAnswered)
+        options.onAnswered(m_context.fingerprint);
+    if (failure && failure->reason == RefusalReason::TargetFailed && options.onConnectionLost)
+        options.onConnectionLost(m_target, m_context.fingerprint);
+}
+
 void GuardExchange::open(OutcomeHandler<void> handler)
 {
     m_stageStart = util::BootClock::now();
-    m_record = { m_context.requestId, m_target->target().name, m_context.entry, m_context.idempotent,
-        m_context.rank == internalRequestRank, m_target->target().slots, m_target->slotsInUse(),
-        m_target->waiting() };
+    m_record = { m_context.requestId, m_context.fingerprint, m_target->target().name, m_context.entry,
+        m_context.idempotent, m_context.rank == internalRequestRank, m_target->target().slots,
+        m_target->slotsInUse(), m_target->waiting() };
     m_record.knownLimit = m_target->requestLimit();
     m_ticket = m_target->acquireSlot(
         m_context, [self = shared_from_this(), handler = std::move(handler)](Outcome<void> slotResult) {
@@ -179,8 +188,10 @@
     m_target->recordResult(m_ticket, toTargetResult(head), now - m_sentAt);
     m_record.timeToFirstByte = now - m_sentAt;
     reportAttempt(head ? head->status : 0, head ? std::nullopt : std::optional(head.error()));
-    if (!head || !head->hasBody)
+    if (!head || !head->hasBody) {
+        reportEnd(head ? std::nullopt : std::optional(head.error()));
         release(head.has_value());
+    }
 }
 
 void GuardExchange::readBody(OutcomeHandler<BodyChunk> handler)
@@ -189,8 +200,10 @@
         [self = shared_from_this(), handler = std::move(handler)](Outcome<BodyChunk> chunk) {
             if (!chunk)
                 self->m_target->recordResult(self->m_ticket, TargetResult::HardFailure);
-            if (!chunk || chunk->last)
+            if (!chunk || chunk->last) {
+                self->reportEnd(chunk ? std::nullopt : std::optional(chunk.error()));
                 self->release(chunk.has_value());
+            }
             handler(std::move(chunk));
         });
 }
--- a/tarragonhaven/guard_exchange.h
+++ b/tarragonhaven/guard_exchange.h
@@ -40,6 +40,9 @@
     [[nodiscard]] Outcome<ResponseHead> checkedHead(Outcome<ResponseHead> head);
     void onHead(const Outcome<ResponseHead>& head);
     void onSlotResult(const Outcome<void>& slotResult);
+    // Reports that the target has answered the request completely or, if that has failed, that its connection
+    // was lost.
+    void reportEnd(const std::optional<Refusal>& failure) const;
     // Passes the record of the attempt to the `onAttempt` option; only the first call has an effect.
     void reportAttempt(int status, std::optional<Refusal> refusal);
 
--- a/tarragonhaven/guard_options.h
+++ b/tarragonhaven/guard_options.h
@@ -2,14 +2,18 @@
 
 #include "tarragonhaven/attempt_record.h"
 #include "tarragonhaven/header_names.h"
+#include "tarragonhaven/request_fingerprint.h"
 #include "tarragonhaven/target_breaker.h"
 #include "util/time.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace tarragonhaven {
 
+class GuardedTarget;
+
 // Settings of a guard. The defaults are for fleets that run from a declaration of their own, without a
 // platform adapter.
 struct GuardOptions {
@@ -35,6 +39,10 @@
     util::Duration maximumIdleTimeNonIdempotent = std::chrono::milliseconds(500);
     // Called with the record of each attempt at a guarded target when the attempt ends; may be empty.
     std::function<void(const AttemptRecord&)> onAttempt;
+    // Called when the connection of a request that was sent to a target is lost, and when a target has
+    // answered a request completely; may be empty. A Guard sets them.
+    std::function<void(const std::shared_ptr<GuardedTarget>&, RequestFingerprint)> onConnectionLost;
+    std::function<void(RequestFingerprint)> onAnswered;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -301,6 +301,13 @@
     m_idleConnections.push_back(std::move(connection));
 }
 
+bool GuardedTarget::hasOpenConnection()
+{
+    return !m_inFlight.empty()
+        || std::any_of(m_idleConnections.begin(), m_idleConnections.end(),
+            [](const auto& connection) { return connection->stillOpen(); });
+}
+
 void GuardedTarget::recordSent(std::uint64_t ticket)
 {
     const bool probe = m_breaker && m_breaker->recordSent();
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -64,6 +64,10 @@
     std::unique_ptr<TargetConnection> takeIdleConnection(util::Duration maximumIdle);
     void storeIdleConnection(std::unique_ptr<TargetConnection> connection);
 
+    // Returns whether any connection to the target is open: one of an idle connection, or of a request whose
+    // response has not begun.
+    [[nodiscard]] bool hasOpenConnection();
+
     // recordSent() records that a request with a slot was sent to the target; recordResult() then records its
     // result, once. `timeToFirstByte` is used for a success only.
     void recordSent(std::uint64_t ticket);
--- a/tarragonhaven/node_traffic.cc
+++ b/tarragonhaven/node_traffic.cc
@@ -1,8 +1,12 @@
 #include "tarragonhaven/node_traffic.h"
 
 #include "tarragonhaven/declaration_write.h"
+#include "tarragonhaven/rendezvous.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <type_traits>
+#include <utility>
 
 namespace tarragonhaven {
 
@@ -13,6 +17,8 @@
     // How long idle connections stay open after the stop began, so that a request that is already on its way
     // still gets a response, which announces that the connection closes.
     constexpr util::Duration idleConnectionTimeAfterStop = std::chrono::seconds(1);
+    // The number of nodes that a node asks for suspects after its start.
+    constexpr std::size_t suspectQueries = 4;
 
 } // namespace
 
@@ -84,6 +90,7 @@
         const auto directory = Directory::fromConfiguration(*accepted->configuration);
         m_guard.apply(*directory);
         m_entry.apply(std::move(accepted->configuration), directory);
+        querySuspects();
         updateReadiness();
     }
     if (auto* leaving = std::get_if<LeavingInstancesChanged>(&event)) {
@@ -97,6 +104,8 @@
     m_control.handle(reply);
     if (const auto* received = std::get_if<TargetReportReceived>(&reply))
         m_entry.recordReport(received->target, received->report);
+    if (const auto* suspects = std::get_if<SuspectsReceived>(&reply))
+        handleSuspects(*suspects);
     const auto* view = std::get_if<FleetView>(&reply);
     if (!view)
         return;
@@ -106,6 +115,39 @@
     updateReadiness();
 }
 
+void NodeTraffic::handleSuspects(const SuspectsReceived& received)
+{
+    std::visit(
+        [&](const auto& message) {
+            if constexpr (SuspectMessage<std::remove_cvref_t<decltype(message)>>) {
+                if (auto reply = m_guard.containment().receive(message))
+                    sendSuspects(std::move(*reply), received.from);
+            }
+        },
+        received.message);
+}
+
+void NodeTraffic::sendSuspects(ControlMessage message, const InstanceName& to)
+{
+    m_dependencies.controlRequests.push(SendSuspectsRequest { std::move(message), to });
+}
+
+// Asks a few nodes for the suspects that they know, once after the start.
+void NodeTraffic::querySuspects()
+{
+    if (std::exchange(m_suspectsQueried, true))
+        return;
+    std::vector<std::string> others;
+    for (const auto& instance : m_entry.configuration()->index().instances) {
+        if (instance.name != m_dependencies.settings.instance)
+            others.push_back(instance.name.text);
+    }
+    auto order = rendezvousOrder(m_dependencies.settings.instance.text, std::move(others));
+    order.resize(std::min(order.size(), suspectQueries));
+    for (const auto& name : order)
+        sendSuspects(CrashContainment::query(), { name });
+}
+
 void NodeTraffic::updateReadiness()
 {
     const bool ready = m_entry.configuration() && m_fleetView.mayServe;
@@ -129,6 +171,10 @@
         m_dependencies.controlRequests.push(SendTargetReportRequest {
             notification.target, notification.report, std::move(notification.entries) });
     }
+    for (const auto& crash : m_guard.containment().takeCrashes())
+        logCrash(m_dependencies.log, crash);
+    for (auto& message : m_guard.containment().takeMessages())
+        sendSuspects(std::move(message), {});
     m_control.tick();
     if (++m_ticks % ticksPerEvaluation == 0) {
         m_entry.tick();
--- a/tarragonhaven/node_traffic.h
+++ b/tarragonhaven/node_traffic.h
@@ -59,6 +59,10 @@
 private:
     void handleEvent(ConfigurationEvent event);
     void handleReply(const ControlReply& reply);
+    void handleSuspects(const SuspectsReceived& received);
+    // Sends a message about suspects to a node, or to all if none is named.
+    void sendSuspects(ControlMessage message, const InstanceName& to);
+    void querySuspects();
     void updateReadiness();
     void onTick();
     void advanceStop();
@@ -79,6 +83,7 @@
     std::set<InstanceName> m_listedLeavingInstances;
     FleetView m_fleetView;
     unsigned long m_ticks = 0;
+    bool m_suspectsQueried = false;
     bool m_stopping = false;
     util::Time m_stopStartedAt {};
 };
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -84,6 +84,7 @@
         frame.queueTimeoutUs = std::max<std::int64_t>(1, microseconds(m_context.queueDeadline - now));
     frame.bypassesBreaker = m_context.bypassesBreaker;
     frame.knownTargetLimit = m_context.knownTargetLimit;
+    frame.fingerprint = m_context.fingerprint;
     return frame;
 }
 
--- a/tarragonhaven/peer_frame.h
+++ b/tarragonhaven/peer_frame.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/message_head.h"
 #include "tarragonhaven/refusal.h"
+#include "tarragonhaven/request_fingerprint.h"
 #include "tarragonhaven/target_report.h"
 
 #include <compare>
@@ -51,8 +52,9 @@
     bool bypassesBreaker = false;
     // The target's limit in requests per second, if the entry node knows one.
     std::optional<double> knownTargetLimit;
+    RequestFingerprint fingerprint;
     MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, head, callerService, rank,
-        mayQueue, deadlineCoversBody, queueTimeoutUs, bypassesBreaker, knownTargetLimit);
+        mayQueue, deadlineCoversBody, queueTimeoutUs, bypassesBreaker, knownTargetLimit, fingerprint);
 
     friend bool operator==(const OpenFrame&, const OpenFrame&) = default;
 };
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -83,6 +83,8 @@
     if (!m_target)
         return refuse({ RefusalReason::NoTarget, RunState::NotRun, util::Duration {},
             "this node does not guard the target" });
+    if (const auto refusal = m_host.guard().containment().refusalFor(m_context.fingerprint))
+        return refuse(*refusal);
     m_exchange = std::make_shared<GuardExchange>(m_target, m_context, frame.head);
     if (!m_requestBodyPending)
         watchForEntryDisconnect();
@@ -106,6 +108,7 @@
         context.queueDeadline = util::BootClock::now() + std::chrono::microseconds(frame.queueTimeoutUs);
     context.bypassesBreaker = frame.bypassesBreaker;
     context.knownTargetLimit = frame.knownTargetLimit;
+    context.fingerprint = frame.fingerprint;
     return context;
 }
 
--- a/tarragonhaven/refusal.cc
+++ b/tarragonhaven/refusal.cc
@@ -48,6 +48,7 @@
         { RefusalReason::PeerLost, "peer-lost", 502 },
         { RefusalReason::NotReady, "not-ready", 503 },
         { RefusalReason::Stopping, "stopping", 503 },
+        { RefusalReason::CrashesTargets, "crashes-targets", 503 },
     } };
 
     const ReasonRow& rowOf(RefusalReason reason)
--- a/tarragonhaven/refusal.h
+++ b/tarragonhaven/refusal.h
@@ -56,6 +56,8 @@
     PeerLost,
     NotReady,
     Stopping,
+    // The request was running at several targets when they crashed.
+    CrashesTargets,
 };
 
 // The outcome that a caller gets instead of a target's response.
@@ -82,6 +84,6 @@
 std::string_view toString(RunState run);
 
 // The number of reasons. The values of the enumerators range from 0 to refusalReasonCount - 1.
-inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::Stopping) + 1;
+inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::CrashesTargets) + 1;
 
 } // namespace tarragonhaven
--- a/tarragonhaven/request_context.h
+++ b/tarragonhaven/request_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/names.h"
+#include "tarragonhaven/request_fingerprint.h"
 #include "util/time.h"
 
 #include <optional>
@@ -35,6 +36,8 @@
     // Whether the request is sent to the target even if the guard's breaker would hold it back. Set when all
     // other targets refused the request.
     bool bypassesBreaker = false;
+    // Recognises the request if it is sent again.
+    RequestFingerprint fingerprint;
     // The limit of the target in requests per second, as the entry node learned it, if it knows one. A guard
     // that has just started uses it until its target responds.
     std::optional<double> knownTargetLimit;
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <type_traits>
 
 namespace tarragonhaven {
 
@@ -41,6 +42,10 @@
     // The number of nodes that report a target which has ceased to serve to its guard. Several, because a
     // part of them may be cut off from the store or the guard.
     constexpr std::size_t targetStateReporters = 8;
+    // The number of nodes that reply to the report of a crash if they know more of the suspects.
+    constexpr std::size_t suspectRepliers = 8;
+    // The number of nodes that a node asks for suspects after its start.
+    constexpr std::size_t suspectQueries = 4;
     // The part of the grace period that is kept for closing connections.
     constexpr util::Duration stopMargin = std::chrono::milliseconds(400);
 
@@ -78,6 +83,23 @@
         return options;
     }
 
+    std::vector<std::string> nodeNames(const Directory& directory)
+    {
+        std::vector<std::string> names;
+        for (const auto& [name, instance] : directory.instances())
+            names.push_back(name.text);
+        return names;
+    }
+
+    // Returns whether a node is among the first `count` in the rendezvous order of all nodes for the key.
+    bool isAmongFirst(std::size_t count, const InstanceName& node, const std::string& key,
+        const std::vector<std::string>& nodes)
+    {
+        const auto order = rendezvousOrder(key, nodes);
+        const auto end = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), count));
+        return std::find(order.begin(), end, node.text) != end;
+    }
+
 } // namespace
 
 SidecarTraffic::SidecarTraffic(Dependencies dependencies)
@@ -171,8 +193,10 @@
 
 void SidecarTraffic::applyConfigurationAndDirectory()
 {
-    if (m_directory)
+    if (m_directory) {
         m_guard.apply(*m_directory);
+        querySuspects();
+    }
     m_admission.apply(m_configuration, m_directory);
     m_entry.apply(m_configuration, m_directory);
     const bool ready = m_configuration && m_directory;
@@ -186,14 +210,9 @@
     const auto changes = changedTargetStates(before, after);
     if (changes.empty())
         return;
-    std::vector<std::string> nodes;
-    for (const auto& [name, instance] : after.instances())
-        nodes.push_back(name.text);
+    const auto nodes = nodeNames(after);
     for (const auto& [target, serving, guardAddress] : changes) {
-        const auto order = rendezvousOrder(target.name.text, nodes);
-        const auto end
-            = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), targetStateReporters));
-        if (std::find(order.begin(), end, m_dependencies.settings.instance.text) == end)
+        if (!isAmongFirst(targetStateReporters, m_dependencies.settings.instance, target.name.text, nodes))
             continue;
         if (target.instance != m_dependencies.settings.instance)
             m_socket.send(guardAddress,
@@ -213,6 +232,51 @@
         recordPeerState(envelope.from, *state);
     if (const auto* targetReport = std::get_if<TargetReportMessage>(&envelope.message))
         m_entry.recordReport({ targetReport->target }, targetReport->report);
+    handleSuspects(source, envelope);
+}
+
+void SidecarTraffic::handleSuspects(const Endpoint& source, const ControlEnvelope& envelope)
+{
+    const auto reply = std::visit(
+        [this](const auto& message) -> std::optional<SuspectStateMessage> {
+            if constexpr (SuspectMessage<std::remove_cvref_t<decltype(message)>>)
+                return m_guard.containment().receive(message);
+            return std::nullopt;
+        },
+        envelope.message);
+    if (!reply || !m_directory)
+        return;
+    const auto* crash = std::get_if<CrashReportMessage>(&envelope.message);
+    if (!crash
+        || isAmongFirst(
+            suspectRepliers, m_dependencies.settings.instance, crash->target, nodeNames(*m_directory)))
+        m_socket.send(source, *reply);
+}
+
+void SidecarTraffic::querySuspects()
+{
+    const auto& self = m_dependencies.settings.instance;
+    if (m_directory->instances().size() < 2 || std::exchange(m_suspectsQueried, true))
+        return;
+    auto order = rendezvousOrder(self.text, nodeNames(*m_directory));
+    std::erase(order, self.text);
+    order.resize(std::min(order.size(), suspectQueries));
+    for (const auto& name : order)
+        m_socket.send(m_directory->instance({ name })->peerAddress, CrashContainment::query());
+}
+
+void SidecarTraffic::sendSuspects()
+{
+    for (const auto& crash : m_guard.containment().takeCrashes())
+        logCrash(m_dependencies.log, crash);
+    for (const auto& message : m_guard.containment().takeMessages()) {
+        if (!m_directory)
+            continue;
+        for (const auto& [name, instance] : m_directory->instances()) {
+            if (name != m_dependencies.settings.instance)
+                m_socket.send(instance.peerAddress, message);
+        }
+    }
 }
 
 void SidecarTraffic::recordPeerState(const InstanceName& from, const TargetStateMessage& state)
@@ -269,6 +333,9 @@
         fields["namedLimit"] = "malformed";
     if (attempt.notice.leaving)
         fields["targetLeaving"] = true;
+    if (attempt.refusal && attempt.refusal->reason == RefusalReason::TargetFailed
+        && attempt.fingerprint.known())
+        fields["fingerprint"] = toString(attempt.fingerprint);
     if (attempt.status > 0) {
         fields["status"] = attempt.status;
     } else if (attempt.refusal) {
@@ -284,6 +351,7 @@
 void SidecarTraffic::onTick()
 {
     sendTargetReports();
+    sendSuspects();
     logBreakerChanges();
     if (++m_ticks % ticksPerEvaluation == 0) {
         m_admission.tick();
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -62,6 +62,10 @@
     void sendTargetStates(const Directory& before, const Directory& after);
     void recordPeerState(const InstanceName& from, const TargetStateMessage& state);
     void sendTargetReports();
+    // Exchanges with other nodes what is known of requests that crash targets.
+    void sendSuspects();
+    void handleSuspects(const Endpoint& source, const ControlEnvelope& envelope);
+    void querySuspects();
     void logBreakerChanges();
     void logAttempt(const AttemptRecord& attempt);
     [[nodiscard]] GuardOptions guardOptions();
@@ -84,6 +88,7 @@
     ConfigurationPointer m_configuration;
     DirectoryPointer m_directory;
     unsigned long m_ticks = 0;
+    bool m_suspectsQueried = false;
     bool m_stopping = false;
     bool m_refusingRequests = false;
     bool m_requestsAborted = false;
--- a/tarragonhaven/testing/codec_test.cc
+++ b/tarragonhaven/testing/codec_test.cc
@@ -22,6 +22,7 @@
         limited.limitedMs = 400;
         OpenFrame hinted { "r", "o", "t", false, 1000, {} };
         hinted.knownTargetLimit = 2.5;
+        hinted.fingerprint = { 7 };
         const RequestHead request { "POST", "/a?b=c", { { "X", "y" } }, true, 12 };
         return { HelloFrame { 1, "f", "i", 7 }, OpenFrame { "r", "o", "t", true, 1000, request },
             OpenedFrame { "r" }, RefusedFrame { "r", 3, 1, 500, "why", {} },
@@ -38,7 +39,10 @@
             TokenReturnMessage { { { "o", 1, 2 } } }, IdempotencyBeginMessage { 1, "k", "o", "p" },
             IdempotencyEndMessage { 1, "k", 2, 200 }, IdempotencyVerdictMessage { 1, 2, 3 },
             LeavingMessage {}, TargetReportMessage { "t", {} },
-            TargetStateMessage { "t", 100, true, { 1, 7 } } };
+            TargetStateMessage { "t", 100, true, { 1, 7 } },
+            CrashReportMessage { "t", 100, { { { 7 }, 3, 1, 60000 } } },
+            SuspectStateMessage { { { { 7 }, 3 } } }, SuspectAnsweredMessage { { { 7 } } },
+            SuspectQueryMessage { 5 } };
     }
 
 } // namespace
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -92,6 +92,18 @@
         }
     }
 
+    void addCrashMetrics(MetricsPage& page, const CrashContainment& containment)
+    {
+        page.counter("target_crashes_total", "Crashes of guarded targets that were running requests.",
+            static_cast<double>(containment.crashes()));
+        page.gauge("suspect_requests",
+            "Requests that were running when a target crashed and were not answered since.",
+            static_cast<double>(containment.suspects().suspectCount()));
+        page.gauge("held_requests",
+            "Requests that are refused because targets crashed that were running them.",
+            static_cast<double>(containment.suspects().heldCount(util::BootClock::now())));
+    }
+
     void addAgeMetrics(MetricsPage& page, const Entry& entry)
     {
         const auto& configuration = entry.configuration();
@@ -185,6 +197,7 @@
     MetricsPage page;
     sources.metrics.addTo(page);
     addTargetMetrics(page, sources.entry, sources.guard);
+    addCrashMetrics(page, sources.guard.containment());
     addAgeMetrics(page, sources.entry);
     addLogMetrics(page, sources.log);
     if (sources.quota)
