--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -154,8 +154,8 @@
     log.write(LogLevel::Info, "route",
         { { "request", m_request.context.requestId }, { "organisation", m_request.context.organisation.text },
             { "route", m_request.route.name.text }, { "service", m_request.context.service.text },
-            { "revision", m_entry.configuration()->revision() }, { "try", m_planner.attempts() + 1 },
-            { "target", choice.target ? choice.target->name.text : "" },
+            { "rank", m_request.context.rank }, { "revision", m_entry.configuration()->revision() },
+            { "try", m_planner.attempts() + 1 }, { "target", choice.target ? choice.target->name.text : "" },
             { "mayQueue", m_request.context.mayQueue }, { "alternatives", alternatives },
             { "reason", choice.reason } });
 }
--- a/tarragonhaven/tarragonhaven_explain.cc
+++ b/tarragonhaven/tarragonhaven_explain.cc
@@ -1,5 +1,6 @@
 // Reads the logs of nodes and explains the outcome of a request, or counts the outcomes of all requests.
 
+#include "tarragonhaven/load_summary.h"
 #include "tarragonhaven/outcome_summary.h"
 #include "tarragonhaven/request_trace.h"
 #include "util/environment_flags.h"
@@ -16,6 +17,8 @@
 
 ABSL_FLAG(std::string, request, "",
     "The id of the request to explain; if empty, the outcomes of all requests are counted.");
+ABSL_FLAG(
+    bool, load, false, "Print how the requests were placed: attempts, refusals, waits, results by rank.");
 ABSL_FLAG(bool, json, false, "Write JSON instead of text.");
 
 namespace {
@@ -27,7 +30,10 @@
     = "Shows the trace of a request through a fleet and the cause of its outcome, from the nodes' logs.\n\n"
       "  tarragonhaven_explain --request=ID [--json] LOG...   the trace of one request\n"
       "  tarragonhaven_explain [--json] LOG...                the number of requests by outcome, with an "
-      "example id\n\n"
+      "example id\n"
+      "  tarragonhaven_explain --load [--json] LOG...         attempts, refusals, waits and results by "
+      "service "
+      "and rank\n\n"
       "LOG is a file with the log of one or several nodes; - or no LOG reads standard input.\n"
       "Exit codes: 0 success, 1 no line about the request, 2 usage error or unreadable LOG.";
 
@@ -79,7 +85,7 @@
 int main(int argumentCount, char** arguments)
 {
     absl::SetProgramUsageMessage(usage);
-    for (const auto& fault : util::applyEnvironment("TARRAGONHAVEN", { "request", "json" })) {
+    for (const auto& fault : util::applyEnvironment("TARRAGONHAVEN", { "request", "load", "json" })) {
         std::fprintf(stderr, "%s: %s\n", fault.path.c_str(), fault.reason.c_str());
         return exitUsage;
     }
@@ -87,10 +93,14 @@
     const std::vector<std::string> files(positional.begin() + 1, positional.end());
     const auto request = absl::GetFlag(FLAGS_request);
     const bool json = absl::GetFlag(FLAGS_json);
+    const bool load = absl::GetFlag(FLAGS_load);
     tarragonhaven::OutcomeSummary summary;
+    tarragonhaven::LoadSummary loadSummary;
     tarragonhaven::RequestTraceBuilder builder(request);
     const auto error = readAll(files, [&](std::string_view line) {
-        if (request.empty())
+        if (load)
+            loadSummary.addLogLine(line);
+        else if (request.empty())
             summary.addLogLine(line);
         else
             builder.addLogLine(line);
@@ -99,6 +109,11 @@
         std::fprintf(stderr, "%s\n", error.c_str());
         return exitUsage;
     }
+    if (load) {
+        const auto table = loadSummary.finish();
+        std::printf("%s\n", json ? toJson(table).dump(2).c_str() : toText(table).c_str());
+        return 0;
+    }
     if (request.empty()) {
         printSummary(summary, json);
         return 0;
