--- a/tarragonhaven/control_core.h
+++ b/tarragonhaven/control_core.h
@@ -128,6 +128,7 @@
     void handle(const Endpoint&, const ControlEnvelope&, const RemoteQuotaUsageMessage&) { }
     void handle(const Endpoint&, const ControlEnvelope&, const QuotaQueryMessage&) { }
     void handle(const Endpoint&, const ControlEnvelope&, const TargetStateMessage&) { }
+    void handle(const Endpoint&, const ControlEnvelope&, const EvacuationMessage&) { }
 
     void handleRequest(std::monostate) { }
     void handleRequest(const FetchTokensRequest& request);
--- a/tarragonhaven/control_message.h
+++ b/tarragonhaven/control_message.h
@@ -192,6 +192,17 @@
     friend bool operator==(const TargetStateMessage&, const TargetStateMessage&) = default;
 };
 
+// A node that reads the store reports to the guards of a data centre that it is evacuated, or that its
+// evacuation has ended, as of a position in the store's history. A guard may be cut off from the store.
+struct EvacuationMessage {
+    std::string dataCentre;
+    bool evacuated = false;
+    StorePosition asOf;
+    MSGPACK_DEFINE_ARRAY(dataCentre, evacuated, asOf);
+
+    friend bool operator==(const EvacuationMessage&, const EvacuationMessage&) = default;
+};
+
 // A node reports what it has admitted, for limits of one QuotaKind.
 struct QuotaReportMessage {
     int kind = 0;
@@ -264,7 +275,8 @@
 using ControlMessage = std::variant<PingMessage, PongMessage, TokenRequestMessage, TokenGrantMessage,
     TokenReturnMessage, IdempotencyBeginMessage, IdempotencyEndMessage, IdempotencyVerdictMessage,
     LeavingMessage, TargetReportMessage, QuotaReportMessage, RemoteQuotaUsageMessage, QuotaQueryMessage,
-    TargetStateMessage, CrashReportMessage, SuspectStateMessage, SuspectAnsweredMessage, SuspectQueryMessage>;
+    TargetStateMessage, CrashReportMessage, SuspectStateMessage, SuspectAnsweredMessage, SuspectQueryMessage,
+    EvacuationMessage>;
 
 // A message together with its sender and the sender's fleet.
 struct ControlEnvelope {
--- a/tarragonhaven/directory.cc
+++ b/tarragonhaven/directory.cc
@@ -2,12 +2,15 @@
 
 namespace tarragonhaven {
 
-Directory::Directory(TargetsByService targets, std::uint16_t peerPort, StorePosition asOf)
+Directory::Directory(
+    TargetsByService targets, std::uint16_t peerPort, StorePosition asOf, std::set<DataCentreName> evacuated)
     : m_targets(std::move(targets))
+    , m_evacuated(std::move(evacuated))
     , m_asOf(asOf)
 {
-    for (const auto& [service, list] : m_targets) {
-        for (const auto& target : list) {
+    for (auto& [service, list] : m_targets) {
+        for (auto& target : list) {
+            target.evacuated = m_evacuated.contains(target.dataCentre);
             Instance instance;
             instance.name = target.instance;
             instance.dataCentre = target.dataCentre;
--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -30,6 +30,12 @@
     m_changed = true;
 }
 
+void DirectoryTracker::setEvacuated(std::set<DataCentreName> dataCentres)
+{
+    m_changed = m_changed || m_evacuated != dataCentres;
+    m_evacuated = std::move(dataCentres);
+}
+
 bool DirectoryTracker::isDeclared(const ServiceName& service) const
 {
     return !m_declaredServices || m_declaredServices->contains(service);
@@ -160,7 +166,7 @@
         target.leaving = target.leaving || newestAtAddress[target.address] != &entry;
         targets[entry.record.service].push_back(std::move(target));
     }
-    return std::make_shared<const Directory>(std::move(targets), m_options.peerPort, asOf);
+    return std::make_shared<const Directory>(std::move(targets), m_options.peerPort, asOf, m_evacuated);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/directory_tracker.h
+++ b/tarragonhaven/directory_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/directory.h"
+#include "tarragonhaven/evacuation/evacuation_tracker.h"
 #include "tarragonhaven/target_record.h"
 #include "util/time.h"
 
@@ -24,6 +25,7 @@
     util::Duration removedRetention = std::chrono::minutes(2);
     // The port at which the nodes of the targets' instances accept links from other nodes.
     std::uint16_t peerPort = 0;
+    EvacuationOptions evacuation;
 };
 
 // Builds the directory of targets from the records that a source lists and the changes that it reports. The
@@ -57,6 +59,8 @@
     void beginEpoch(util::Time now);
     // Sets the services that are declared. Before the first call all services count as declared.
     void setDeclaredServices(std::set<ServiceName> services);
+    // Sets the data centres whose targets get no new requests.
+    void setEvacuated(std::set<DataCentreName> dataCentres);
     // Records that the source is unreachable at `now`.
     void onSourceLost(util::Time now) { m_sourceLostAt = now; }
     // Removes the targets whose records were still missing at the end of the grace period, and uses those
@@ -94,6 +98,7 @@
 
     DirectoryOptions m_options;
     std::optional<std::set<ServiceName>> m_declaredServices;
+    std::set<DataCentreName> m_evacuated;
     std::map<TargetName, Entry> m_entries;
     std::map<TargetName, RemovedTarget> m_removed;
     std::optional<util::Time> m_sourceLostAt;
--- a/tarragonhaven/discovery_watcher.h
+++ b/tarragonhaven/discovery_watcher.h
@@ -36,6 +36,7 @@
         : m_log(log)
         , m_store(makeStore(m_io))
         , m_tracker(options)
+        , m_evacuations(options.evacuation)
         , m_events(ringCapacity)
         , m_timer(m_io)
         , m_graceTimer(m_io)
@@ -135,6 +136,7 @@
             if (listing->declarations)
                 apply(*listing->declarations);
             m_tracker.onListing(listing->targets, listing->asOfRevision, util::BootClock::now());
+            m_evacuations.onListing(listing->evacuations, listing->asOfRevision, util::BootClock::now());
             m_asOf = { listing->epoch, listing->asOfRevision };
             publishDirectory();
             watch();
@@ -248,6 +250,7 @@
             { { "name", "store" }, { "event", "restored" }, { "epoch", epoch }, { "before", *before },
                 { "asOf", m_asOf.revision } });
         m_tracker.beginEpoch(util::BootClock::now());
+        m_evacuations.beginEpoch(util::BootClock::now());
         return true;
     }
 
@@ -284,6 +287,8 @@
         m_tracker.onRemoved(removed.name, removed.revision, util::BootClock::now());
     }
 
+    void apply(const EvacuationChange& change) { m_evacuations.onChange(change, util::BootClock::now()); }
+
     void apply(const RejectedRecord& rejected) { recordRejected(rejected); }
 
     void recordRejected(const RejectedRecord& rejected)
@@ -296,12 +301,15 @@
     void publishDirectory()
     {
         m_tracker.advance(util::BootClock::now());
+        m_evacuations.advance(util::BootClock::now());
+        m_tracker.setEvacuated(m_evacuations.inForce());
         const auto changed = m_tracker.takeIfChanged(m_asOf);
         if (changed) {
             logDirectory(*changed);
+            logEvacuations(*changed);
             m_events.push(DirectoryChanged { changed });
         }
-        if (m_tracker.hasPendingChanges())
+        if (m_tracker.hasPendingChanges() || m_evacuations.hasPendingChanges())
             scheduleGraceCheck();
     }
 
@@ -328,11 +336,40 @@
                 { "leaving", leaving } });
     }
 
+    // Logs each data centre whose evacuation has begun or ended since the last directory.
+    void logEvacuations(const Directory& directory)
+    {
+        const auto before = std::exchange(m_loggedEvacuations, directory.evacuated());
+        const auto log = [this, &directory](const DataCentreName& dataCentre, const char* event) {
+            std::size_t targets = 0;
+            for (const auto& [service, list] : directory.targets()) {
+                for (const auto& target : list)
+                    targets += target.dataCentre == dataCentre ? 1 : 0;
+            }
+            m_log.write(LogLevel::Warning, "evacuation",
+                { { "event", event }, { "dataCentre", dataCentre.text }, { "known", targets > 0 },
+                    { "epoch", directory.asOf().epoch }, { "asOf", directory.asOf().revision },
+                    { "targets", targets }, { "evacuated", directory.evacuated().size() } });
+        };
+        for (const auto& dataCentre : directory.evacuated()) {
+            // A data centre without targets may be misspelt.
+            if (!before.contains(dataCentre))
+                log(dataCentre, "begun");
+        }
+        for (const auto& dataCentre : before) {
+            if (!directory.evacuated().contains(dataCentre))
+                log(dataCentre, "ended");
+        }
+    }
+
     LogChannel& m_log;
     boost::asio::io_context m_io;
     Store m_store;
     ConfigurationHolder m_holder;
     DirectoryTracker m_tracker;
+    EvacuationTracker m_evacuations;
+    // The evacuated data centres of the directory that was published last.
+    std::set<DataCentreName> m_loggedEvacuations;
     EventRing m_events;
     DiscoveryCounters m_counters;
     boost::asio::steady_timer m_timer;
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -89,6 +89,9 @@
     const auto now = util::BootClock::now();
     recordOutstandingAges(now);
     m_notices.removeExpired(now);
+    for (const auto& dataCentre : m_evacuationReports.takeExpired(now))
+        m_dependencies.log.write(LogLevel::Info, "evacuation",
+            { { "event", "report-expired" }, { "dataCentre", dataCentre.text } });
     for (auto& [name, service] : m_services) {
         if (service.upToDate())
             continue;
@@ -260,6 +263,11 @@
         for (auto& view : views)
             view.leaving = view.leaving || m_notices.find(*view.target).leaving;
     }
+    if (!m_evacuationReports.empty()) {
+        for (auto& view : views)
+            view.leaving = view.leaving
+                || m_evacuationReports.isEvacuated(view.target->dataCentre, m_directory->asOf(), now);
+    }
     const auto distance = [this](const Target& target) { return distanceTo(target); };
     std::erase_if(m_avoided, [now](const auto& item) { return item.second <= now; });
     if (m_avoided.empty())
@@ -284,10 +292,27 @@
     const auto service = m_serviceOfTarget.find(target);
     if (service == m_serviceOfTarget.end())
         return;
+    if (report.evacuatedAsOf)
+        recordEvacuation(service->second, target, *report.evacuatedAsOf, now);
     if (auto* health = this->health(service->second))
         health->recordReport(target, report, now);
 }
 
+void Entry::recordEvacuation(
+    const ServiceName& service, const TargetName& name, const StorePosition& asOf, util::Time now)
+{
+    const auto& targets = m_directory->targetsOf(service);
+    const auto target = std::find_if(
+        targets.begin(), targets.end(), [&name](const Target& item) { return item.name == name; });
+    if (target == targets.end() || asOf <= m_directory->asOf()
+        || !m_evacuationReports.record(target->dataCentre, asOf, now))
+        return;
+    m_dependencies.log.write(LogLevel::Warning, "evacuation",
+        { { "event", "reported" }, { "dataCentre", target->dataCentre.text }, { "target", name.text },
+            { "epoch", asOf.epoch }, { "asOf", asOf.revision },
+            { "directoryAsOf", m_directory->asOf().revision } });
+}
+
 std::uint64_t Entry::addOutstanding(const ServiceName& service, const TargetName& target)
 {
     if (auto* health = this->health(service))
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/configuration.h"
 #include "tarragonhaven/directory.h"
 #include "tarragonhaven/entry_options.h"
+#include "tarragonhaven/evacuation/evacuation_reports.h"
 #include "tarragonhaven/guard.h"
 #include "tarragonhaven/key_filter.h"
 #include "tarragonhaven/log_channel.h"
@@ -133,6 +134,9 @@
     tl::expected<const Route*, Refusal> findRoute(const RequestHead& head) const;
     tl::expected<const Organisation*, Refusal> findOrganisation(
         const Route& route, const std::optional<PresentedKey>& key, std::string& digest) const;
+    // Records that a guard refuses requests because its data centre is evacuated.
+    void recordEvacuation(
+        const ServiceName& service, const TargetName& target, const StorePosition& asOf, util::Time now);
     [[nodiscard]] int distanceTo(const Target& target) const;
     void logEjection(const ServiceName& service, const EjectionDecision& decision);
 
@@ -147,6 +151,7 @@
     std::map<TargetName, util::Time> m_avoided;
     std::map<TargetName, ServiceName> m_serviceOfTarget;
     TargetNoticeTable m_notices;
+    EvacuationReports m_evacuationReports;
     LocalRetryLimiter m_localRetries;
     std::map<std::uint64_t, OutstandingRequest> m_outstanding;
     std::uint64_t m_lastOutstandingNumber = 0;
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -35,6 +35,13 @@
             "target responded with status " + std::to_string(head.status) };
     }
 
+    // A request that has waited at a target until its data centre was evacuated gets more attempts, to be
+    // placed elsewhere.
+    int attemptLimit(const Refusal& refusal)
+    {
+        return refusal.reason == RefusalReason::TargetEvacuated ? 2 * maximumAttempts : maximumAttempts;
+    }
+
     // Returns whether the target received the request, so that another attempt counts as a retry.
     bool reachedTarget(const Refusal& refusal)
     {
@@ -198,7 +205,7 @@
         return "its body was not retained completely";
     if (now + minimumAttemptTime >= m_request.context.deadline)
         return "less than 20 ms are left before its deadline";
-    if (m_planner.attempts() >= maximumAttempts)
+    if (m_planner.attempts() >= attemptLimit(refusal))
         return "the limit of 10 attempts is reached";
     if (m_planner.isRefusedEverywhere())
         return "the shortest queues are too long";
@@ -239,7 +246,8 @@
         if (auto* health = m_entry.health(m_request.context.service))
             health->recordPathFailure(target);
     }
-    if (refusal.reason == RefusalReason::PeerUnreachable || refusal.reason == RefusalReason::Stopping)
+    if (refusal.reason == RefusalReason::PeerUnreachable || refusal.reason == RefusalReason::Stopping
+        || refusal.reason == RefusalReason::TargetEvacuated)
         m_entry.avoid(target, unreachableAvoidance);
     if (refusal.run == RunState::NotRun)
         return;
--- a/tarragonhaven/fleet_policy.h
+++ b/tarragonhaven/fleet_policy.h
@@ -20,6 +20,8 @@
     double retrySlack = 60;
     // The share of a service's slots that ejection leaves in use.
     double floorShare = 0.7;
+    // How long after the request to evacuate a data centre requests may still reach its targets.
+    util::Duration evacuationBound = std::chrono::seconds(5);
     // The time from the stop signal to the end of the process.
     util::Duration gracePeriod = std::chrono::seconds(6);
 
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -49,6 +49,8 @@
 {
     const auto now = util::BootClock::now();
     m_directoryAsOf = directory.asOf();
+    std::erase_if(
+        m_peerEvacuations, [this](const auto& item) { return item.second.asOf <= m_directoryAsOf; });
     m_dataCentres.clear();
     for (const auto& [name, instance] : directory.instances())
         m_dataCentres.emplace(name, instance.dataCentre);
@@ -64,6 +66,7 @@
                 guarded->update(target, m_directoryAsOf);
             else
                 guarded = std::make_shared<GuardedTarget>(m_io, target, m_incarnation, m_options);
+            updateEvacuation(*guarded);
             m_targets.emplace(target.name, std::move(guarded));
         }
     }
@@ -83,6 +86,33 @@
         target->recordPeerState({ message.serving, message.asOf });
 }
 
+void Guard::updateEvacuation(GuardedTarget& target) const
+{
+    const auto found = m_peerEvacuations.find(target.target().dataCentre);
+    if (found != m_peerEvacuations.end())
+        target.setEvacuated(found->second.evacuated, found->second.asOf);
+    else
+        target.setEvacuated(target.target().evacuated, m_directoryAsOf);
+}
+
+bool Guard::recordPeerEvacuation(const EvacuationMessage& message)
+{
+    if (message.asOf <= m_directoryAsOf)
+        return false;
+    const auto known = m_peerEvacuations.find({ message.dataCentre });
+    if (known != m_peerEvacuations.end() && known->second.asOf > message.asOf)
+        return false;
+    bool changed = false;
+    for (const auto& [name, target] : m_targets) {
+        if (target->target().dataCentre.text != message.dataCentre)
+            continue;
+        m_peerEvacuations[{ message.dataCentre }] = { message.evacuated, message.asOf };
+        changed = changed || target->isEvacuated() != message.evacuated;
+        updateEvacuation(*target);
+    }
+    return changed;
+}
+
 std::shared_ptr<GuardedTarget> Guard::find(const TargetName& name) const
 {
     const auto found = m_targets.find(name);
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -27,6 +27,9 @@
     void apply(const Directory& directory);
     // Records what a peer reports about a target, unless the directory is newer.
     void recordPeerState(const TargetStateMessage& message);
+    // Records what a peer reports about the evacuation of this node's data centre, unless the directory or an
+    // earlier report is newer. Returns whether this changes what the guard does.
+    bool recordPeerEvacuation(const EvacuationMessage& message);
     // Returns the target, or null if this node does not guard it.
     [[nodiscard]] std::shared_ptr<GuardedTarget> find(const TargetName& name) const;
     // A report on a target, and the entry nodes to which it must be sent.
@@ -74,6 +77,15 @@
     std::shared_ptr<GuardedTarget> takeKnown(
         const Target& target, std::map<TargetName, std::shared_ptr<GuardedTarget>>& previous);
 
+    // What a peer has reported of the evacuation of a data centre, until the directory is as new.
+    struct PeerEvacuation {
+        bool evacuated = false;
+        StorePosition asOf;
+    };
+
+    // Applies to a target what the directory or a newer report of a peer says about its data centre.
+    void updateEvacuation(GuardedTarget& target) const;
+
     boost::asio::io_context& m_io;
     InstanceName m_self;
     std::uint64_t m_incarnation;
@@ -82,6 +94,7 @@
     bool m_draining = false;
     // The position in the store's history up to which the applied directory is complete.
     StorePosition m_directoryAsOf;
+    std::map<DataCentreName, PeerEvacuation> m_peerEvacuations;
     // The data centre of each instance in the directory.
     std::map<InstanceName, DataCentreName> m_dataCentres;
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -135,8 +135,20 @@
     return head;
 }
 
+template <typename T> void GuardExchange::postUnsent(OutcomeHandler<T> handler)
+{
+    boost::asio::post(m_target->io(), [self = shared_from_this(), handler = std::move(handler)] {
+        if (!self->m_cancelled)
+            handler(tl::unexpected(*self->m_unsent));
+    });
+}
+
 void GuardExchange::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
 {
+    if (!m_requestBegun)
+        m_unsent = m_target->sendRefusal();
+    if (m_unsent)
+        return postUnsent<void>(std::move(handler));
     if (!m_requestBegun) {
         m_requestBegun = true;
         m_sentAt = util::BootClock::now();
@@ -149,6 +161,11 @@
 
 void GuardExchange::readHead(OutcomeHandler<ResponseHead> handler)
 {
+    if (m_unsent) {
+        reportAttempt(0, m_unsent);
+        release(false);
+        return postUnsent<ResponseHead>(std::move(handler));
+    }
     m_connection->readHead(
         [self = shared_from_this(), handler = std::move(handler)](Outcome<ResponseHead> head) {
             head = self->checkedHead(std::move(head));
--- a/tarragonhaven/guard_exchange.h
+++ b/tarragonhaven/guard_exchange.h
@@ -33,6 +33,8 @@
 private:
     void connect(OutcomeHandler<void> handler);
     void release(bool keepConnection);
+    // Passes to a handler why the request was not sent.
+    template <typename T> void postUnsent(OutcomeHandler<T> handler);
     // Returns the request head with the header fields that are added for the target.
     [[nodiscard]] RequestHead headForTarget() const;
     // Returns the response head if it is valid, otherwise a refusal. Records what the target announces about
@@ -55,6 +57,8 @@
     bool m_cancelled = false;
     util::Time m_sentAt {};
     AttemptRecord m_record;
+    // Why the request was not sent although it had a slot, if so.
+    std::optional<Refusal> m_unsent;
     // Start of the current stage, and whether the attempt has been reported.
     util::Time m_stageStart {};
     bool m_attemptReported = false;
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -83,6 +83,8 @@
     const auto refusal = [](RefusalReason reason) {
         return Refusal { reason, RunState::NotRun, queueRetryAfter, "" };
     };
+    if (const auto evacuated = sendRefusal())
+        return evacuated;
     if (m_draining || isLeaving())
         return refusal(RefusalReason::Stopping);
     if (m_breaker && !context.bypassesBreaker && !m_breaker->admits(context.idempotent, now))
@@ -228,6 +230,25 @@
     refuseWaiting({ RefusalReason::Stopping, RunState::NotRun, queueRetryAfter, detail }, true);
 }
 
+std::optional<Refusal> GuardedTarget::sendRefusal() const
+{
+    if (!isEvacuated())
+        return std::nullopt;
+    return Refusal { RefusalReason::TargetEvacuated, RunState::NotRun, queueRetryAfter,
+        absl::StrCat("the data centre ", m_target.dataCentre.text, " is evacuated") };
+}
+
+void GuardedTarget::setEvacuated(bool evacuated, const StorePosition& asOf)
+{
+    const bool changed = evacuated != isEvacuated();
+    m_evacuatedAsOf = evacuated ? std::optional(asOf) : std::nullopt;
+    if (!changed)
+        return;
+    m_pushTrigger.recordChange();
+    if (const auto refusal = sendRefusal())
+        refuseWaiting(*refusal, true);
+}
+
 void GuardedTarget::recordPeerState(PeerState state)
 {
     if (m_peerState && m_peerState->asOf >= state.asOf)
@@ -399,7 +420,8 @@
     m_report.slots = m_queue.slots();
     m_report.slotsInUse = m_queue.inUse();
     m_report.waiting = static_cast<int>(m_queue.waiting());
-    m_report.draining = m_draining || isLeaving();
+    m_report.draining = m_draining || isLeaving() || isEvacuated();
+    m_report.evacuatedAsOf = m_evacuatedAsOf;
     m_report.announcedLeaving = m_announcedLeaving;
     const auto now = util::BootClock::now();
     m_report.startTimeMs = m_target.startTimeMs;
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -56,6 +56,9 @@
     };
     // Applies what a peer reports, unless an earlier report is as new.
     void recordPeerState(PeerState state);
+    // Sets whether the target's data centre is evacuated, as of a position in the store's history. While it
+    // is, the target gets no new requests: waiting requests are refused, running ones finish.
+    void setEvacuated(bool evacuated, const StorePosition& asOf);
     // Handles the removal of the target from the directory in the same way as a target that is leaving.
     void retire();
 
@@ -102,6 +105,10 @@
     {
         return m_target.leaving || m_announcedLeaving || (m_peerState && !m_peerState->serving);
     }
+    // Returns whether the target's data centre is evacuated, as of a position in the store's history.
+    [[nodiscard]] bool isEvacuated() const { return m_evacuatedAsOf.has_value(); }
+    // Returns the refusal for a request that must not be sent to the target, whether or not it has a slot.
+    [[nodiscard]] std::optional<Refusal> sendRefusal() const;
     // Returns the breaker's state if it differs from the state at the last call.
     std::optional<TargetBreaker::State> takeBreakerChange();
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
@@ -157,6 +164,7 @@
     // hold time it does not contain requests that the target never answered.
     util::Duration m_averageServiceTime {};
     std::optional<PeerState> m_peerState;
+    std::optional<StorePosition> m_evacuatedAsOf;
     std::optional<TargetBreaker> m_breaker;
     TargetBreaker::State m_lastReportedBreakerState = TargetBreaker::State::Closed;
     std::vector<std::unique_ptr<TargetConnection>> m_idleConnections;
--- a/tarragonhaven/record_store.h
+++ b/tarragonhaven/record_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/declaration.h"
+#include "tarragonhaven/evacuation/evacuation_change.h"
 #include "tarragonhaven/revision.h"
 #include "tarragonhaven/target_record.h"
 #include "util/error.h"
@@ -27,7 +28,7 @@
     std::shared_ptr<const std::string> text;
 };
 
-// An invalid record, which is not used as a target. `name` is the key of the record in the store.
+// An invalid record, which is not used. `name` is the key of the record in the store.
 struct RejectedRecord {
     std::string name;
     std::string reason;
@@ -39,12 +40,14 @@
     Revision revision = 0;
 };
 
-using RecordChange = std::variant<DeclaredDocument, TargetRecord, RemovedRecord, RejectedRecord>;
+using RecordChange
+    = std::variant<DeclaredDocument, TargetRecord, RemovedRecord, RejectedRecord, EvacuationChange>;
 
 // The whole content of the store as of a revision.
 struct RecordListing {
     std::optional<DeclaredDocument> declarations;
     std::vector<TargetRecord> targets;
+    std::vector<EvacuationChange> evacuations;
     std::vector<RejectedRecord> rejected;
     Revision asOfRevision = 0;
     StoreEpoch epoch = 0;
--- a/tarragonhaven/refusal.cc
+++ b/tarragonhaven/refusal.cc
@@ -49,6 +49,7 @@
         { RefusalReason::NotReady, "not-ready", 503 },
         { RefusalReason::Stopping, "stopping", 503 },
         { RefusalReason::CrashesTargets, "crashes-targets", 503 },
+        { RefusalReason::TargetEvacuated, "target-evacuated", 503 },
     } };
 
     const ReasonRow& rowOf(RefusalReason reason)
--- a/tarragonhaven/refusal.h
+++ b/tarragonhaven/refusal.h
@@ -58,6 +58,8 @@
     Stopping,
     // The request was running at several targets when they crashed.
     CrashesTargets,
+    // The target's data centre is evacuated.
+    TargetEvacuated,
 };
 
 // The outcome that a caller gets instead of a target's response.
@@ -84,6 +86,6 @@
 std::string_view toString(RunState run);
 
 // The number of reasons. The values of the enumerators range from 0 to refusalReasonCount - 1.
-inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::CrashesTargets) + 1;
+inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::TargetEvacuated) + 1;
 
 } // namespace tarragonhaven
--- a/tarragonhaven/request_trace.cc
+++ b/tarragonhaven/request_trace.cc
@@ -262,7 +262,7 @@
     bool isStateRecord(const std::string& kind)
     {
         static const std::set<std::string> kinds { "breaker", "ejection", "dependency", "directory",
-            "configuration", "node", "log", "fleet-view" };
+            "configuration", "evacuation", "node", "log", "fleet-view" };
         return kinds.contains(kind);
     }
 
@@ -293,7 +293,8 @@
             if (!isRelevant)
                 continue;
             const bool isNear = record.time >= first - contextBefore && record.time <= last + contextAfter;
-            const bool staysInForce = record.kind == "configuration" || record.kind == "directory";
+            const bool staysInForce
+                = record.kind == "configuration" || record.kind == "directory" || record.kind == "evacuation";
             if (record.kind == "log" && (record.time < first || record.time > last + droppedLinesMargin))
                 continue;
             if (isNear)
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -210,7 +210,7 @@
 {
     const auto ejectionState = state.ejection.state();
     const bool trusted = ejectionState == EjectionState::Active || ejectionState == EjectionState::Ramp;
-    return trusted && !state.leaving && !state.target.leaving && !state.evidence.lastReport().draining;
+    return trusted && !state.leaving && state.target.takesRequests() && !state.evidence.lastReport().draining;
 }
 
 int ServiceHealth::servingSlots() const
@@ -225,7 +225,7 @@
 {
     int slots = 0;
     for (const auto& [name, state] : m_states)
-        slots += state.target.leaving ? 0 : state.target.slots;
+        slots += state.target.takesRequests() ? state.target.slots : 0;
     return (slots * m_service.floorPercent + percent - 1) / percent;
 }
 
@@ -395,7 +395,7 @@
         State* best = nullptr;
         for (auto& [name, state] : m_states) {
             const bool eligible
-                = !state.leaving && !state.target.leaving && !state.evidence.lastReport().draining;
+                = !state.leaving && state.target.takesRequests() && !state.evidence.lastReport().draining;
             if (!eligible || state.ejection.state() != EjectionState::Ejected)
                 continue;
             if (!best || state.evidence.score() < best->evidence.score())
@@ -467,7 +467,7 @@
         view.ejectionState = state.ejection.state();
         const bool draining
             = state.evidence.lastReport().draining && now < state.lastReport + drainingRetention;
-        view.leaving = state.leaving || state.target.leaving || draining;
+        view.leaving = state.leaving || !state.target.takesRequests() || draining;
         view.weight = state.ejection.weight(now) * limitShare(state)
             * (now < state.target.slowStartUntil ? slowStartShare : 1);
         const auto& report = state.evidence.lastReport();
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -104,7 +104,7 @@
     // Returns the slots, free or held, of the targets that are active or ramping and neither leave nor drain.
     [[nodiscard]] int servingSlots() const;
     // Returns the floor in slots: the service's share of the slots of all targets that the directory does not
-    // list as leaving, rounded up. Instances that are leaving still count.
+    // list as leaving or evacuated, rounded up. Instances that are leaving still count.
     [[nodiscard]] int floorSlots() const;
     // Returns the evidence against a target beyond what the median of the other targets explains.
     [[nodiscard]] double excessScore(const TargetName& target) const;
--- a/tarragonhaven/settings_checks.cc
+++ b/tarragonhaven/settings_checks.cc
@@ -1,5 +1,6 @@
 #include "tarragonhaven/settings_checks.h"
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 namespace tarragonhaven {
@@ -50,6 +51,20 @@
     return { linesPerSecond, bytesPerSecond };
 }
 
+std::optional<double> parseOptionalNumber(
+    const std::string& value, double low, double high, const std::string& flag, util::Faults& faults)
+{
+    if (value.empty())
+        return std::nullopt;
+    double number = 0;
+    if (!absl::SimpleAtod(value, &number)) {
+        faults.push_back({ flag, "\"" + value + "\" is not a number" });
+        return std::nullopt;
+    }
+    requireRange(number, low, high, flag, faults);
+    return number;
+}
+
 void requireRange(double value, double low, double high, const std::string& flag, util::Faults& faults)
 {
     if (!(value >= low && value <= high))
--- a/tarragonhaven/sidecar_node.h
+++ b/tarragonhaven/sidecar_node.h
@@ -110,6 +110,7 @@
     {
         DirectoryOptions options;
         options.peerPort = settings.peerAddress.port;
+        options.evacuation = evacuationOptions(settings.policy.evacuationBound);
         return options;
     }
 
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -28,6 +28,10 @@
         policy.retrySlack = raw.retrySlack;
         policy.floorShare = raw.floorShare;
         policy.gracePeriod = util::fromSeconds(raw.graceSeconds);
+        const auto evacuationMs
+            = parseOptionalNumber(raw.evacuationMs, 0, maximumWindowSeconds * 1000, "evacuation_ms", faults);
+        if (evacuationMs)
+            policy.evacuationBound = util::fromSeconds(*evacuationMs / 1000);
         return policy;
     }
 
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -58,6 +58,8 @@
     double retrySlack = 0;
     double floorShare = 0;
     double graceSeconds = 0;
+    // Settings that have their default if they are empty: the platform leaves out those without a value.
+    std::string evacuationMs;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -116,6 +116,7 @@
           m_dependencies.settings.instance, m_dependencies.settings.dataCentre,
           m_dependencies.localHello.incarnation,
           entryOptions(m_dependencies.settings, m_dependencies.headerNames), &m_admission })
+    , m_evacuations(m_dependencies.settings.instance)
     , m_callers(m_thread.io(), m_entry, maximumConnections)
     , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello)
     , m_status(m_thread.io(), [this] { return sources(); })
@@ -187,6 +188,7 @@
         const auto before = std::exchange(m_directory, std::move(changed->directory));
         if (before)
             sendTargetStates(*before, *m_directory);
+        m_evacuations.apply(m_directory, util::BootClock::now());
     }
     applyConfigurationAndDirectory();
 }
@@ -230,6 +232,8 @@
         m_admission.receive(source, *query);
     if (const auto* state = std::get_if<TargetStateMessage>(&envelope.message))
         recordPeerState(envelope.from, *state);
+    if (const auto* evacuation = std::get_if<EvacuationMessage>(&envelope.message))
+        recordPeerEvacuation(envelope.from, *evacuation);
     if (const auto* targetReport = std::get_if<TargetReportMessage>(&envelope.message))
         m_entry.recordReport({ targetReport->target }, targetReport->report);
     handleSuspects(source, envelope);
@@ -287,6 +291,22 @@
             { "serving", state.serving }, { "epoch", state.asOf.epoch }, { "asOf", state.asOf.revision } });
 }
 
+void SidecarTraffic::sendEvacuations()
+{
+    for (const auto& [guardAddress, message] : m_evacuations.take(util::BootClock::now()))
+        m_socket.send(guardAddress, message);
+}
+
+void SidecarTraffic::recordPeerEvacuation(const InstanceName& from, const EvacuationMessage& message)
+{
+    if (!m_guard.recordPeerEvacuation(message))
+        return;
+    m_dependencies.log.write(LogLevel::Warning, "evacuation",
+        { { "event", message.evacuated ? "begun-by-peer" : "ended-by-peer" }, { "from", from.text },
+            { "dataCentre", message.dataCentre }, { "epoch", message.asOf.epoch },
+            { "asOf", message.asOf.revision }, { "directoryAsOf", m_directory->asOf().revision } });
+}
+
 void SidecarTraffic::sendTargetReports()
 {
     for (const auto& notification : m_guard.tick()) {
@@ -351,6 +371,7 @@
 void SidecarTraffic::onTick()
 {
     sendTargetReports();
+    sendEvacuations();
     sendSuspects();
     logBreakerChanges();
     if (++m_ticks % ticksPerEvaluation == 0) {
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/datagram_socket.h"
 #include "tarragonhaven/discovery_event.h"
 #include "tarragonhaven/entry.h"
+#include "tarragonhaven/evacuation/evacuation_announcer.h"
 #include "tarragonhaven/guard.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/peer_sessions.h"
@@ -61,6 +62,9 @@
     // Reports targets that have ceased to serve, or serve again, to their guards.
     void sendTargetStates(const Directory& before, const Directory& after);
     void recordPeerState(const InstanceName& from, const TargetStateMessage& state);
+    // Informs guards of evacuated data centres, and records what a peer reports of them.
+    void sendEvacuations();
+    void recordPeerEvacuation(const InstanceName& from, const EvacuationMessage& message);
     void sendTargetReports();
     // Exchanges with other nodes what is known of requests that crash targets.
     void sendSuspects();
@@ -82,6 +86,7 @@
     DatagramSocket m_socket;
     QuotaAdmission m_admission;
     Entry m_entry;
+    EvacuationAnnouncer m_evacuations;
     CallerSessions m_callers;
     PeerSessions m_peerSessions;
     StatusResponder m_status;
--- a/tarragonhaven/target.h
+++ b/tarragonhaven/target.h
@@ -22,9 +22,14 @@
     std::int64_t startTimeMs = 0;
     // The target gets no new requests, since it is about to stop.
     bool leaving = false;
+    // The target gets no new requests, since its data centre is evacuated.
+    bool evacuated = false;
     // End of the period in which the target is slow after its start.
     util::Time slowStartUntil {};
 
+    // Returns whether the directory lets the target get new requests.
+    [[nodiscard]] bool takesRequests() const { return !leaving && !evacuated; }
+
     friend auto operator<=>(const Target&, const Target&) = default;
     friend bool operator==(const Target&, const Target&) = default;
 };
--- a/tarragonhaven/target_report.h
+++ b/tarragonhaven/target_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "tarragonhaven/revision.h"
+
 #include <compare>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -42,9 +44,12 @@
     bool announcedLeaving = false;
     // Milliseconds until the limit admits one more request after those that wait.
     std::int64_t limitedMs = 0;
+    // Set if the guard refuses requests because the target's data centre is evacuated: the position in the
+    // store's history as of which it is.
+    std::optional<StorePosition> evacuatedAsOf;
     MSGPACK_DEFINE_ARRAY(incarnation, sequence, slots, slotsInUse, waiting, draining, successes, failures,
         overdue, logLatencySum, sinceSuccessMs, idempotentBlockedMs, nonIdempotentBlockedMs, startTimeMs,
-        limitKnown, requestLimit, announcedLeaving, limitedMs);
+        limitKnown, requestLimit, announcedLeaving, limitedMs, evacuatedAsOf);
 
     friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
--- a/tarragonhaven/testing/codec_test.cc
+++ b/tarragonhaven/testing/codec_test.cc
@@ -20,6 +20,7 @@
         limited.limitKnown = true;
         limited.requestLimit = 2.5;
         limited.limitedMs = 400;
+        limited.evacuatedAsOf = { 1, 7 };
         OpenFrame hinted { "r", "o", "t", false, 1000, {} };
         hinted.knownTargetLimit = 2.5;
         hinted.fingerprint = { 7 };
@@ -42,7 +43,7 @@
             TargetStateMessage { "t", 100, true, { 1, 7 } },
             CrashReportMessage { "t", 100, { { { 7 }, 3, 1, 60000 } } },
             SuspectStateMessage { { { { 7 }, 3 } } }, SuspectAnsweredMessage { { { 7 } } },
-            SuspectQueryMessage { 5 } };
+            SuspectQueryMessage { 5 }, EvacuationMessage { "east", true, { 1, 7 } } };
     }
 
 } // namespace
--- a/tarragonhaven/testing/entry_test.cc
+++ b/tarragonhaven/testing/entry_test.cc
@@ -5,6 +5,7 @@
 #include "tarragonhaven/testing/local_fleet.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 
 namespace tarragonhaven::testing {
 
@@ -82,4 +83,37 @@
     CHECK(internalRequest.context.rank < callerRequest.context.rank);
 }
 
+// Guards against a request that uses up its attempts at the targets of an evacuated data centre, because the
+// store does not answer its entry node, and against requests that are sent although all are evacuated.
+TEST_CASE("an entry sends nothing to evacuated data centres, nor to those that a guard says are evacuated")
+{
+    StandaloneEntry standalone(sidecarOptions());
+    auto& entry = standalone.entry;
+    const auto targets = entry.directory()->targets();
+    const auto usedDataCentres = [&entry] {
+        std::set<DataCentreName> used;
+        for (int i = 0; i < 100; ++i) {
+            const auto choice = entry.choose({ "status" }, { .lowestCost = i % 2 == 0 });
+            if (choice.target)
+                used.insert(choice.target->dataCentre);
+        }
+        return used;
+    };
+    const DataCentreName own { "dc1" };
+    const DataCentreName other { "dc2" };
+    CHECK(usedDataCentres().contains(own));
+    TargetReport report { .incarnation = 1, .sequence = 1 };
+    report.evacuatedAsOf = { 1, 5 };
+    entry.recordReport({ "t11" }, report);
+    CHECK(usedDataCentres() == std::set { other });
+    const auto apply = [&](StorePosition asOf, std::set<DataCentreName> evacuated) {
+        entry.apply(entry.configuration(), std::make_shared<const Directory>(targets, 7000, asOf, evacuated));
+        return usedDataCentres();
+    };
+    CHECK(apply({ 1, 4 }, {}) == std::set { other });
+    CHECK(apply({ 1, 5 }, {}).contains(own));
+    CHECK(apply({ 1, 6 }, { other }) == std::set { own });
+    CHECK(apply({ 1, 7 }, { own, other }).empty());
+}
+
 } // namespace tarragonhaven::testing
--- a/tarragonhaven/testing/guard_exchange_test.cc
+++ b/tarragonhaven/testing/guard_exchange_test.cc
@@ -86,6 +86,8 @@
         exchange->open([&](const Outcome<void>& opened) {
             if (!opened)
                 return fail(opened.error());
+            if (beforeSend)
+                beforeSend(*m_target);
             exchange->writeBody({ "", true }, [&](const Outcome<void>&) {
                 exchange->readHead([&](const Outcome<ResponseHead>& response) {
                     if (!response)
@@ -102,6 +104,9 @@
         return result;
     }
 
+    // Called when a request has a slot and a connection, before it is sent; may be empty.
+    std::function<void(GuardedTarget&)> beforeSend;
+
     [[nodiscard]] int runsOf(const std::string& id) const
     {
         const auto found = m_scripted.runs().find(id);
@@ -196,6 +201,28 @@
     CHECK(named.refusal->run == RunState::NotRun);
 }
 
+// Guards against a request that reaches an evacuated target because its body came slowly while it had a slot.
+TEST_CASE("a request that has a slot is not sent once the data centre of its target is evacuated", "[net]")
+{
+    GuardedScript script(
+        [&](const ScriptedRequest& request) { return ScriptedAnswer { goodAnswer(request.id) }; });
+    REQUIRE(script.send("r1").succeeded());
+    GuardedTarget* guarded = nullptr;
+    script.beforeSend = [&guarded](GuardedTarget& target) {
+        guarded = &target;
+        target.setEvacuated(true, { 1, 5 });
+    };
+    const auto refused = script.send("r2");
+    REQUIRE(refused.refusal);
+    CHECK(refused.refusal->reason == RefusalReason::TargetEvacuated);
+    CHECK(refused.refusal->run == RunState::NotRun);
+    CHECK(script.runsOf("r2") == 0);
+    CHECK_FALSE(guarded->busy());
+    script.beforeSend = {};
+    guarded->setEvacuated(false, { 1, 6 });
+    CHECK(script.send("r3").succeeded());
+}
+
 // Guards against a response that looks complete although the target broke it off in the middle of its head.
 TEST_CASE("an answer that ends in its head or in its body is never a complete success", "[net]")
 {
--- a/tarragonhaven/testing/overload_choice_test.cc
+++ b/tarragonhaven/testing/overload_choice_test.cc
@@ -74,3 +74,30 @@
     CHECK(share(result.servedInObjective, result.requests) > 0.9);
     CHECK(share(result.refused, result.requests) < 0.02);
 }
+
+// Guards against requests that are lost, or reach the targets, when one of three data centres is evacuated at
+// the load that all three can just take.
+TEST_CASE("the evacuation of a data centre under load moves what fits and refuses the excess by rank")
+{
+    const auto seed = GENERATE(1U, 2U, 3U, 4U, 5U);
+    OverloadedService::Shape shape;
+    shape.ranks = 3;
+    shape.evacuatedFromSeconds = 8;
+    shape.requestsPerSecond
+        = shape.dataCentres * shape.targetsPerDataCentre * shape.slots / shape.meanServiceSeconds;
+    auto result = OverloadedService(shape, sidecarOptions(), seed).run();
+    CAPTURE(seed, result.refused, result.refusedByRank[0], result.refusedByRank[1], result.refusedByRank[2],
+        result.startedInEvacuated, result.secondsUntilRefused);
+    CHECK(result.startedInEvacuated == 0);
+    const auto refusedShare = [&](int rank) {
+        return static_cast<double>(result.refusedByRank[rank]) / result.requestsByRank[rank];
+    };
+    // A third of the capacity is missing, and only that share is refused.
+    CHECK((refusedShare(0) + refusedShare(1) + refusedShare(2)) / 3 < 0.4);
+    CHECK(refusedShare(0) < 0.1);
+    CHECK(refusedShare(0) < refusedShare(1));
+    CHECK(refusedShare(1) < refusedShare(2));
+    // The excess is refused before its objective has passed on average: a request of a late rank that waits
+    // is overtaken by others.
+    CHECK(result.secondsUntilRefused < shape.objectiveSeconds * result.refused);
+}
--- a/tarragonhaven/testing/overloaded_service.cc
+++ b/tarragonhaven/testing/overloaded_service.cc
@@ -33,6 +33,36 @@
     }
     for (int i = 0; i < m_shape.dataCentres * m_shape.entriesPerDataCentre; ++i)
         m_entries.push_back(std::make_unique<ServiceHealth>(service));
+    if (m_shape.evacuatedFromSeconds >= 0)
+        scheduleEvacuation(service);
+}
+
+void OverloadedService::scheduleEvacuation(const Service& service)
+{
+    m_evacuatedFrom = m_now + util::fromSeconds(m_shape.evacuatedFromSeconds);
+    auto evacuated = service;
+    for (auto& target : evacuated.targets)
+        target.evacuated = target.dataCentre.text == "0";
+    std::uniform_real_distribution<double> delay(0, m_shape.learnedWithinSeconds);
+    for (auto& entry : m_entries)
+        schedule(*m_evacuatedFrom + util::fromSeconds(delay(m_random)),
+            [&health = *entry, evacuated] { health.update(evacuated); });
+    for (int i = 0; i < m_shape.targetsPerDataCentre; ++i) {
+        const double after = i % 3 == 0 ? m_shape.learnedWithinSeconds : delay(m_random);
+        schedule(*m_evacuatedFrom + util::fromSeconds(after),
+            [this, i] { evacuateGuard(static_cast<std::size_t>(i)); });
+    }
+}
+
+void OverloadedService::evacuateGuard(std::size_t target)
+{
+    auto& guard = m_guards[target];
+    guard.evacuated = true;
+    guard.report.draining = true;
+    for (const auto& request : std::exchange(guard.waiting, {})) {
+        request->waiting = false;
+        refuse(request, RefusalReason::TargetEvacuated);
+    }
 }
 
 void OverloadedService::schedule(util::Time at, std::function<void()> action)
@@ -65,7 +95,11 @@
     request->queueDeadline
         = m_now + util::fromSeconds(m_options.queueTimeoutShareOfObjective * m_shape.objectiveSeconds);
     request->planner = std::make_unique<AttemptPlanner>(m_options, false);
+    if (m_shape.ranks > 1)
+        request->rank = std::uniform_int_distribution<int>(0, m_shape.ranks - 1)(m_random);
     ++m_result.requests;
+    if (m_evacuatedFrom && m_now >= *m_evacuatedFrom)
+        ++m_result.requestsByRank[request->rank];
     attempt(request);
 }
 
@@ -83,6 +117,8 @@
     if (!attempt.choice.target || request->planner->attempts() >= maximumAttempts
         || request->planner->isRefusedEverywhere()) {
         ++m_result.refused;
+        if (m_evacuatedFrom && request->arrivedAt >= *m_evacuatedFrom)
+            ++m_result.refusedByRank[request->rank];
         m_result.secondsUntilRefused += util::toSeconds(m_now - request->arrivedAt);
         return;
     }
@@ -94,16 +130,21 @@
     m_result.remoteAttempts += request->remote ? 1 : 0;
     health.recordSent(target.name);
     auto& guard = m_guards[request->target];
+    if (guard.evacuated)
+        return refuse(request, RefusalReason::TargetEvacuated);
     if (guard.inUse < m_shape.slots)
         return start(request);
     if (!attempt.mayQueue)
         return refuse(request, RefusalReason::NoFreeSlot);
-    const double wait = guard.meanHoldSeconds * static_cast<double>(guard.waiting.size() + 1) / m_shape.slots;
+    const auto behind = std::find_if(guard.waiting.begin(), guard.waiting.end(),
+        [&request](const auto& other) { return other->rank > request->rank; });
+    const auto position = behind - guard.waiting.begin() + 1;
+    const double wait = guard.meanHoldSeconds * static_cast<double>(position) / m_shape.slots;
     const double available = m_shape.predictedTimeShare * util::toSeconds(request->queueDeadline - m_now);
     if (wait + guard.meanHoldSeconds > available)
         return refuse(request, RefusalReason::QueueFull);
     request->waiting = true;
-    guard.waiting.push_back(request);
+    guard.waiting.insert(behind, request);
     schedule(request->queueDeadline, [this, request] {
         if (!request->waiting)
             return;
@@ -135,6 +176,10 @@
 void OverloadedService::start(const RequestPointer& request)
 {
     ++m_guards[request->target].inUse;
+    const bool evacuated = request->target < static_cast<std::size_t>(m_shape.targetsPerDataCentre);
+    if (evacuated && m_evacuatedFrom
+        && m_now > *m_evacuatedFrom + util::fromSeconds(m_shape.learnedWithinSeconds))
+        ++m_result.startedInEvacuated;
     const double median = m_shape.meanServiceSeconds / std::exp(logSpread * logSpread / 2);
     const double seconds = median * std::exp(std::normal_distribution<double>(0, logSpread)(m_random));
     schedule(m_now + util::fromSeconds(seconds), [this, request, seconds] { finish(request, seconds); });
--- a/tarragonhaven/testing/overloaded_service.h
+++ b/tarragonhaven/testing/overloaded_service.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <vector>
@@ -23,6 +25,11 @@
     // Attempts at targets in another data centre than the entry's, and those of them that were served.
     int remoteAttempts = 0;
     int remoteServed = 0;
+    // Requests and refusals by rank, while a data centre is evacuated.
+    std::map<int, int> requestsByRank;
+    std::map<int, int> refusedByRank;
+    // Requests that targets of an evacuated data centre started after the bound.
+    int startedInEvacuated = 0;
     // The sum of the times from the arrival of refused requests to their refusal, in seconds.
     double secondsUntilRefused = 0;
 };
@@ -43,6 +50,12 @@
         double predictedTimeShare = 0.65;
         double requestsPerSecond = 0;
         double durationSeconds = 20;
+        // Requests have random ranks from 0 to `ranks` - 1, and targets serve the lowest first.
+        int ranks = 1;
+        // Data centre 0 is evacuated from this time on, if it is not negative. Nodes learn of it up to
+        // `learnedWithinSeconds` later; a third of the guards there only from that time on.
+        double evacuatedFromSeconds = -1;
+        double learnedWithinSeconds = 2;
     };
 
     OverloadedService(Shape shape, EntryOptions options, unsigned seed);
@@ -57,10 +70,12 @@
         std::size_t target = 0;
         bool remote = false;
         bool waiting = false;
+        int rank = 0;
     };
     using RequestPointer = std::shared_ptr<Request>;
     struct GuardModel {
         int inUse = 0;
+        bool evacuated = false;
         std::deque<RequestPointer> waiting;
         double meanHoldSeconds = 0;
         TargetReport report;
@@ -75,6 +90,8 @@
         }
     };
 
+    void scheduleEvacuation(const Service& service);
+    void evacuateGuard(std::size_t target);
     void schedule(util::Time at, std::function<void()> action);
     void arrive();
     void attempt(const RequestPointer& request);
@@ -89,6 +106,7 @@
     std::mt19937_64 m_random;
     util::Time m_now { std::chrono::hours(1) };
     util::Time m_end {};
+    std::optional<util::Time> m_evacuatedFrom;
     std::priority_queue<Event> m_events;
     std::uint64_t m_eventCount = 0;
     std::vector<GuardModel> m_guards;
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -36,6 +36,7 @@
     CHECK(parsed->instance.text == "10.0.0.1");
     CHECK(parsed->policy.quotaWindow == std::chrono::seconds(5));
     CHECK_FALSE(parsed->metricsAddress);
+    CHECK(parsed->policy.evacuationBound == std::chrono::seconds(5));
     auto raw = validSettings();
     raw.service = "";
     raw.metricsAddress = "here";
@@ -44,6 +45,7 @@
     raw.quotaOvershoot = 11;
     raw.floorShare = 1.5;
     raw.graceSeconds = 0;
+    raw.evacuationMs = "soon";
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -51,5 +53,5 @@
         faultPaths.insert(fault.path);
     CHECK(faultPaths
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
-            "quota_overshoot", "floor_share", "grace_seconds" });
+            "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms" });
 }
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -16,10 +16,10 @@
             for (const auto& view : health.views(now)) {
                 rows.push_back({ { "service", service.text }, { "target", view.target->name.text },
                     { "instance", view.target->instance.text }, { "standing", toString(view.ejectionState) },
-                    { "leaving", view.leaving }, { "weight", view.weight }, { "load", view.load },
-                    { "slowdown", view.slowdown }, { "score", health.excessScore(view.target->name) },
-                    { "slots", view.target->slots }, { "slotsInUse", health.servingSlots() },
-                    { "floorSlots", health.floorSlots() } });
+                    { "leaving", view.leaving }, { "evacuated", view.target->evacuated },
+                    { "weight", view.weight }, { "load", view.load }, { "slowdown", view.slowdown },
+                    { "score", health.excessScore(view.target->name) }, { "slots", view.target->slots },
+                    { "slotsInUse", health.servingSlots() }, { "floorSlots", health.floorSlots() } });
             }
         }
         return rows;
@@ -44,6 +44,16 @@
         return rows;
     }
 
+    ordered_json evacuatedDataCentres(const Entry& entry)
+    {
+        auto names = ordered_json::array();
+        if (entry.directory()) {
+            for (const auto& dataCentre : entry.directory()->evacuated())
+                names.push_back(dataCentre.text);
+        }
+        return names;
+    }
+
     ordered_json refusals(const TrafficMetrics& metrics)
     {
         ordered_json rows = ordered_json::object();
@@ -70,16 +80,20 @@
                 page.gauge("guarded_request_limit",
                     "Requests per second that a guarded target accepts, as it named in its responses.",
                     *target->requestLimit(), labels);
+            page.gauge("guarded_evacuated",
+                "Whether a guarded target gets no requests because its data centre is evacuated.",
+                target->isEvacuated() ? 1 : 0, labels);
             page.gauge("guarded_leaving", "Whether a guarded target has announced that it is about to stop.",
                 target->announcedLeaving() ? 1 : 0, labels);
         }
         const auto now = util::BootClock::now();
         for (const auto& [service, health] : entry.services()) {
-            std::map<std::string_view, int> counts { { "active", 0 }, { "held", 0 }, { "leaving", 0 },
-                { "not-active", 0 } };
+            std::map<std::string_view, int> counts { { "active", 0 }, { "evacuated", 0 }, { "held", 0 },
+                { "leaving", 0 }, { "not-active", 0 } };
             for (const auto& view : health.views(now)) {
                 const bool active = view.ejectionState == EjectionState::Active;
-                ++counts[view.leaving           ? "leaving"
+                ++counts[view.target->evacuated ? "evacuated"
+                        : view.leaving          ? "leaving"
                         : view.blocksIdempotent ? "held"
                         : active                ? "active"
                                                 : "not-active"];
@@ -112,10 +126,13 @@
         if (configuration)
             page.gauge("declarations_age_seconds", "Time since this node applied its current declarations.",
                 secondsSince(entry.declarationsSince()));
-        if (entry.directory())
-            page.gauge("directory_age_seconds",
-                "Time since this node applied the last change of the directory of targets.",
-                secondsSince(entry.directorySince()));
+        if (!entry.directory())
+            return;
+        page.gauge("directory_age_seconds",
+            "Time since this node applied the last change of the directory of targets.",
+            secondsSince(entry.directorySince()));
+        page.gauge("evacuated_data_centres", "Data centres that are evacuated, as the store said last.",
+            static_cast<double>(entry.directory()->evacuated().size()));
     }
 
     void addLogMetrics(MetricsPage& page, const LogChannel& log)
@@ -185,6 +202,7 @@
     status["answers"] = metrics.responses();
     status["retries"] = metrics.retries();
     status["cutAnswers"] = metrics.truncatedResponses();
+    status["evacuated"] = evacuatedDataCentres(entry);
     status["targets"] = targetStates(entry);
     status["guarded"] = guardedTargetStates(guard);
     status["organisations"] = organisations(metrics);
