Pace the requests to cold targets

A target that has just started, or that returns cold after an evacuation, tolerates few requests (cold_per_s of its service) and crashes well above that. Nodes knew only the time in its record, and used it for 0.4 of its slots; nothing limited the requests, so a restart of all targets of a data centre could end in another one.

The guard now assumes that its target is cold for cold_start_s from each moment at which it may have started: its own start, a new start of the target, the end of an evacuation, and whenever no connection on which it sent requests has stayed open. A health probe that was sent after that moment settles it. While the target is cold, all requests are paced at cold_per_s; one that is sent late, or was granted a slot before the target became cold, takes another token or is refused, not run. Entries use the target by its pace. The time in a record counts from its first reading, so a store that is restored makes no target cold again.

Ruled out: taking each reset as a restart (30% of the targets reset connections for seconds while they fail), and trusting a record that states 0, which may be older than a restart.

--- a/tarragonhaven/attempt_record.h
+++ b/tarragonhaven/attempt_record.h
@@ -40,6 +40,8 @@
     // when the request arrived.
     TargetNotice notice;
     std::optional<double> knownLimit;
+    // The pace in requests per second if the target was cold when the request arrived.
+    std::optional<double> coldPace;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/directory_tracker.cc
+++ b/tarragonhaven/directory_tracker.cc
@@ -53,12 +53,18 @@
         entry.record.revision = record.revision;
         return;
     }
+    // A record that is listed again says nothing new of how long its target remains cold.
+    const bool sameRecord = known && generationOf(record) == generationOf(entry.record);
+    const auto slowStartUntil = sameRecord              ? entry.slowStartUntil
+        : record.slowStartRemaining > util::Duration {} ? now + record.slowStartRemaining
+                                                        : util::Time {};
+    const bool slowStartChanged
+        = slowStartUntil != entry.slowStartUntil && std::max(slowStartUntil, entry.slowStartUntil) > now;
     const bool sameState = known && entry.record.target == record.target
         && entry.record.service == record.service && !entry.removeAt && !entry.usedFrom;
-    m_changed = m_changed || !sameState;
+    m_changed = m_changed || !sameState || slowStartChanged;
     entry.record = record;
-    entry.slowStartUntil
-        = record.slowStartRemaining > util::Duration {} ? now + record.slowStartRemaining : util::Time {};
+    entry.slowStartUntil = slowStartUntil;
     entry.removeAt.reset();
     entry.usedFrom.reset();
 }
--- a/tarragonhaven/fleet_policy.h
+++ b/tarragonhaven/fleet_policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/evacuation/cold_pace.h"
 #include "util/time.h"
 
 #include <compare>
@@ -22,6 +23,7 @@
     double floorShare = 0.7;
     // How long after the request to evacuate a data centre requests may still reach its targets.
     util::Duration evacuationBound = std::chrono::seconds(5);
+    ColdPaceBound coldPace;
     // The time from the stop signal to the end of the process.
     util::Duration gracePeriod = std::chrono::seconds(6);
 
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -1,5 +1,7 @@
 #include "tarragonhaven/guard.h"
 
+#include "tarragonhaven/evacuation/cold_probe.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -67,6 +69,8 @@
             else
                 guarded = std::make_shared<GuardedTarget>(m_io, target, m_incarnation, m_options);
             updateEvacuation(*guarded);
+            const auto policy = m_coldStart.find(service);
+            guarded->setColdStart(policy == m_coldStart.end() ? ColdStartPolicy {} : policy->second);
             m_targets.emplace(target.name, std::move(guarded));
         }
     }
@@ -129,6 +133,8 @@
     std::vector<ReportNotification> notifications;
     for (const auto& [name, target] : m_targets) {
         target->tick();
+        if (target->takeColdProbe())
+            probe(target);
         auto entries = target->entriesToNotify(dataCentreOf);
         if (!entries.empty())
             notifications.push_back({ name, target->report(), std::move(entries) });
@@ -149,6 +155,25 @@
     return changes;
 }
 
+void Guard::probe(const std::shared_ptr<GuardedTarget>& target)
+{
+    probeCold(m_io, target->target().address, target->healthPath(), m_options.headerNames.coldRemaining,
+        [weak = std::weak_ptr(target)](std::optional<util::Duration> remaining) {
+            if (const auto locked = weak.lock())
+                locked->recordColdProbe(remaining);
+        });
+}
+
+std::vector<Guard::TargetColdChange> Guard::takeColdChanges()
+{
+    std::vector<TargetColdChange> changes;
+    for (const auto& [name, target] : m_targets) {
+        if (const auto change = target->takeColdChange())
+            changes.push_back({ name, *change, target->coldPace().value_or(0) });
+    }
+    return changes;
+}
+
 bool Guard::busy() const
 {
     return std::any_of(
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -21,6 +21,8 @@
     Guard(
         boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation, GuardOptions options = {});
 
+    // Sets what services declare of cold targets; applies from the next directory on.
+    void setColdStart(std::map<ServiceName, ColdStartPolicy> policies) { m_coldStart = std::move(policies); }
     // Applies a new directory. A target that is no longer listed finishes the requests that it has; if the
     // same start of it is listed again, what it has announced still holds. A target that restarted under the
     // same name begins without evidence, without announcements and without connections.
@@ -50,6 +52,15 @@
     // Returns the changes since the last call, for the log.
     std::vector<BreakerChange> takeBreakerChanges();
 
+    // A change of a target between cold and warm.
+    struct TargetColdChange {
+        TargetName target;
+        ColdChange change;
+        double requestsPerSecond = 0;
+    };
+    // Returns the changes since the last call, for the log.
+    std::vector<TargetColdChange> takeColdChanges();
+
     [[nodiscard]] CrashContainment& containment() { return m_containment; }
     [[nodiscard]] const CrashContainment& containment() const { return m_containment; }
 
@@ -83,6 +94,8 @@
         StorePosition asOf;
     };
 
+    // Asks a target at its health path how long it remains cold.
+    void probe(const std::shared_ptr<GuardedTarget>& target);
     // Applies to a target what the directory or a newer report of a peer says about its data centre.
     void updateEvacuation(GuardedTarget& target) const;
 
@@ -95,6 +108,7 @@
     // The position in the store's history up to which the applied directory is complete.
     StorePosition m_directoryAsOf;
     std::map<DataCentreName, PeerEvacuation> m_peerEvacuations;
+    std::map<ServiceName, ColdStartPolicy> m_coldStart;
     // The data centre of each instance in the directory.
     std::map<InstanceName, DataCentreName> m_dataCentres;
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -81,6 +81,7 @@
         m_context.idempotent, m_context.rank == internalRequestRank, m_target->target().slots,
         m_target->slotsInUse(), m_target->waiting() };
     m_record.knownLimit = m_target->requestLimit();
+    m_record.coldPace = m_target->coldPace();
     m_ticket = m_target->acquireSlot(
         m_context, [self = shared_from_this(), handler = std::move(handler)](Outcome<void> slotResult) {
             if (self->m_cancelled)
@@ -146,7 +147,7 @@
 void GuardExchange::writeBody(BodyChunk chunk, OutcomeHandler<void> handler)
 {
     if (!m_requestBegun)
-        m_unsent = m_target->sendRefusal();
+        m_unsent = m_target->refusalBeforeSend(m_ticket);
     if (m_unsent)
         return postUnsent<void>(std::move(handler));
     if (!m_requestBegun) {
--- a/tarragonhaven/guard_options.h
+++ b/tarragonhaven/guard_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/attempt_record.h"
+#include "tarragonhaven/evacuation/cold_pace.h"
 #include "tarragonhaven/header_names.h"
 #include "tarragonhaven/request_fingerprint.h"
 #include "tarragonhaven/target_breaker.h"
@@ -29,6 +30,8 @@
     // Whether a response with neither Content-Length nor chunked encoding is accepted; it then ends with its
     // connection.
     bool allowUnframedResponses = false;
+    // How many requests a cold target may get beyond those that it tolerates.
+    ColdPaceBound coldPace;
     // Closes a connection on which the target has acknowledged nothing, neither data nor keep-alive probes,
     // for this long; zero leaves the limit to the operating system.
     util::Duration unresponsiveTimeout {};
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <cmath>
-#include <limits>
 #include <utility>
 
 namespace tarragonhaven {
@@ -66,15 +65,9 @@
         std::string(toString(m_breaker->state(util::BootClock::now()))) };
 }
 
-std::string GuardedTarget::limitDetail() const
-{
-    return m_pacer ? absl::StrCat("the target accepts ", m_pacer->limit(), " requests per second") : "";
-}
-
 bool GuardedTarget::hasFreeSlot(util::Time now)
 {
-    return m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0
-        && (!m_pacer || m_pacer->available(now) > 0);
+    return m_queue.inUse() < m_queue.slots() && m_queue.waiting() == 0 && admitted(now) > 0;
 }
 
 std::optional<Refusal> GuardedTarget::admissionRefusal(const RequestContext& context)
@@ -83,14 +76,18 @@
     const auto refusal = [](RefusalReason reason) {
         return Refusal { reason, RunState::NotRun, queueRetryAfter, "" };
     };
-    if (const auto evacuated = sendRefusal())
+    if (const auto evacuated = evacuationRefusal())
         return evacuated;
     if (m_draining || isLeaving())
         return refusal(RefusalReason::Stopping);
     if (m_breaker && !context.bypassesBreaker && !m_breaker->admits(context.idempotent, now))
         return breakerRefusal();
+    if (m_cold && m_queue.inUse() == 0)
+        m_cold->recordDemand(hasUsedConnection(), now);
     if (hasFreeSlot(now))
         return std::nullopt;
+    const bool paced = isCold(now) && m_queue.inUse() < m_queue.slots();
+    m_pacedRequests += paced ? 1 : 0;
     if (!context.mayQueue)
         return Refusal { RefusalReason::NoFreeSlot, RunState::NotRun, queueRetryAfter,
             m_queue.inUse() < m_queue.slots() ? limitDetail() : "" };
@@ -100,8 +97,8 @@
 std::optional<Refusal> GuardedTarget::predictedTimeout(const RequestContext& context, util::Time now)
 {
     const auto position = m_queue.waitingBefore(context.rank) + 1;
-    const auto waitForLimit = m_pacer ? m_pacer->timeUntil(position, now) : util::Duration {};
-    if (m_pacer && now + waitForLimit > queueDeadline(context))
+    const auto waitForLimit = timeUntilAdmitted(position, now);
+    if (waitForLimit > util::Duration {} && now + waitForLimit > queueDeadline(context))
         return Refusal { RefusalReason::QueueFull, RunState::NotRun, std::max(queueRetryAfter, waitForLimit),
             limitDetail() };
     const auto waitForSlot
@@ -152,9 +149,9 @@
 
 void GuardedTarget::releaseSlot(std::uint64_t ticket)
 {
-    const auto granted = m_grantedAt.extract(ticket);
+    const auto granted = m_grants.extract(ticket);
     if (!granted.empty()) {
-        const auto held = util::BootClock::now() - granted.mapped();
+        const auto held = util::BootClock::now() - granted.mapped().at;
         m_averageHoldTime = movingAverage(m_averageHoldTime, held);
     }
     const auto request = m_inFlight.extract(ticket);
@@ -168,16 +165,18 @@
 void GuardedTarget::grantWaiting()
 {
     const auto now = util::BootClock::now();
-    const auto maximum = m_pacer ? m_pacer->available(now) : std::numeric_limits<std::size_t>::max();
-    for (const auto ticket : m_queue.grant(now, maximum))
+    for (const auto ticket : m_queue.grant(now, admitted(now)))
         onGranted(ticket, now);
 }
 
 void GuardedTarget::onGranted(std::uint64_t ticket, util::Time now)
 {
-    m_grantedAt.emplace(ticket, now);
+    const bool paced = isCold(now);
+    m_grants.emplace(ticket, Grant { now, paced, false });
     if (m_pacer)
         m_pacer->take(now);
+    if (paced)
+        m_cold->pace().take(now);
     auto waiting = m_waiting.extract(ticket);
     boost::asio::post(m_io, [handler = std::move(waiting.mapped().handler)] { handler({}); });
 }
@@ -187,7 +186,7 @@
     const auto now = util::BootClock::now();
     for (const auto ticket : m_queue.expire(now))
         refuse(ticket, { RefusalReason::QueueTimeout, RunState::NotRun, queueRetryAfter, "" });
-    if (m_pacer)
+    if (m_pacer || m_cold)
         grantWaiting();
     const auto oldest = now - m_pushTrigger.overdueAge();
     for (auto& [ticket, request] : m_inFlight) {
@@ -230,25 +229,6 @@
     refuseWaiting({ RefusalReason::Stopping, RunState::NotRun, queueRetryAfter, detail }, true);
 }
 
-std::optional<Refusal> GuardedTarget::sendRefusal() const
-{
-    if (!isEvacuated())
-        return std::nullopt;
-    return Refusal { RefusalReason::TargetEvacuated, RunState::NotRun, queueRetryAfter,
-        absl::StrCat("the data centre ", m_target.dataCentre.text, " is evacuated") };
-}
-
-void GuardedTarget::setEvacuated(bool evacuated, const StorePosition& asOf)
-{
-    const bool changed = evacuated != isEvacuated();
-    m_evacuatedAsOf = evacuated ? std::optional(asOf) : std::nullopt;
-    if (!changed)
-        return;
-    m_pushTrigger.recordChange();
-    if (const auto refusal = sendRefusal())
-        refuseWaiting(*refusal, true);
-}
-
 void GuardedTarget::recordPeerState(PeerState state)
 {
     if (m_peerState && m_peerState->asOf >= state.asOf)
@@ -331,6 +311,8 @@
 
 void GuardedTarget::recordSent(std::uint64_t ticket)
 {
+    if (const auto grant = m_grants.find(ticket); grant != m_grants.end())
+        grant->second.connected = true;
     const bool probe = m_breaker && m_breaker->recordSent();
     m_inFlight.emplace(ticket, InFlightRequest { util::BootClock::now(), probe, false });
 }
@@ -348,6 +330,8 @@
     const auto request = m_inFlight.extract(ticket);
     if (!request.empty())
         recordBreakerResult(result, request.mapped().probe);
+    if (result == TargetResult::HardFailure)
+        recordConnectionLost(ticket);
     if (result == TargetResult::NoEvidence)
         return;
     if (result != TargetResult::Success) {
@@ -410,6 +394,8 @@
 void GuardedTarget::recordConnectFailure()
 {
     recordBreakerResult(TargetResult::HardFailure, false);
+    if (m_cold && !hasUsedConnection())
+        m_cold->assume(ColdSource::ConnectionsLost, util::BootClock::now());
     ++m_report.failures;
     m_pushTrigger.recordFailure();
 }
@@ -427,7 +413,9 @@
     m_report.startTimeMs = m_target.startTimeMs;
     m_report.limitKnown = m_limitKnown;
     m_report.requestLimit = requestLimit();
-    m_report.limitedMs = m_pacer ? milliseconds(m_pacer->timeUntil(m_queue.waiting() + 1, now)) : 0;
+    m_report.limitedMs = milliseconds(timeUntilAdmitted(m_queue.waiting() + 1, now));
+    m_report.coldPace = coldPace();
+    m_report.coldMs = m_cold ? milliseconds(m_cold->remaining(now)) : 0;
     if (m_lastSuccess != util::Time {})
         m_report.sinceSuccessMs = milliseconds(now - m_lastSuccess);
     if (m_breaker) {
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/evacuation/cold_state.h"
 #include "tarragonhaven/exchange.h"
 #include "tarragonhaven/guard_options.h"
 #include "tarragonhaven/report_push_trigger.h"
@@ -107,8 +108,22 @@
     }
     // Returns whether the target's data centre is evacuated, as of a position in the store's history.
     [[nodiscard]] bool isEvacuated() const { return m_evacuatedAsOf.has_value(); }
-    // Returns the refusal for a request that must not be sent to the target, whether or not it has a slot.
-    [[nodiscard]] std::optional<Refusal> sendRefusal() const;
+    // Returns the refusal for a request that has a slot but must not be sent any more: its target's data
+    // centre was evacuated meanwhile, or the target is cold and the pace allowed for an earlier sending.
+    [[nodiscard]] std::optional<Refusal> refusalBeforeSend(std::uint64_t ticket);
+    // Applies what the service declares of cold targets. The target counts as cold at first.
+    void setColdStart(const ColdStartPolicy& policy);
+    // Returns whether a health probe must be sent now; recordColdProbe() must follow.
+    bool takeColdProbe();
+    void recordColdProbe(std::optional<util::Duration> remaining);
+    // Returns the change between cold and warm since the last call, if any.
+    std::optional<ColdChange> takeColdChange();
+    // Returns the requests per second that are sent while the target is cold; nothing if it is not.
+    [[nodiscard]] std::optional<double> coldPace();
+    // Returns the path of the target's health check, as its service declares it.
+    [[nodiscard]] const std::string& healthPath() const { return m_healthPath; }
+    // Returns how many requests were delayed or refused because of the pace of the cold target.
+    [[nodiscard]] std::uint64_t pacedRequests() const { return m_pacedRequests; }
     // Returns the breaker's state if it differs from the state at the last call.
     std::optional<TargetBreaker::State> takeBreakerChange();
     [[nodiscard]] boost::asio::io_context& io() { return m_io; }
@@ -118,6 +133,14 @@
         OutcomeHandler<void> handler;
         bool bypassesBreaker = false;
     };
+    // A request that has a slot.
+    struct Grant {
+        util::Time at {};
+        // Whether it has a token of the pace for cold targets.
+        bool paced = false;
+        // Whether it was sent on a connection that has not failed.
+        bool connected = false;
+    };
     // A request that was sent to the target.
     struct InFlightRequest {
         util::Time sentAt {};
@@ -131,8 +154,19 @@
     [[nodiscard]] std::optional<Refusal> predictedTimeout(const RequestContext& context, util::Time now);
     // Returns whether a request that arrives now gets a slot without waiting.
     [[nodiscard]] bool hasFreeSlot(util::Time now);
-    // Returns a text for refusals that states the target's limit; empty if there is none.
-    [[nodiscard]] std::string limitDetail() const;
+    // Returns a text for refusals that states the target's limit or pace; empty if there is none.
+    [[nodiscard]] std::string limitDetail();
+    // Returns the number of requests that the limit and the pace admit now, and the time until they have
+    // admitted `count` more.
+    [[nodiscard]] std::size_t admitted(util::Time now);
+    [[nodiscard]] util::Duration timeUntilAdmitted(std::size_t count, util::Time now);
+    [[nodiscard]] bool isCold(util::Time now) const { return m_cold && m_cold->isCold(now); }
+    [[nodiscard]] std::optional<Refusal> evacuationRefusal() const;
+    // Returns whether a connection is open on which requests were sent.
+    [[nodiscard]] bool hasUsedConnection();
+    // Records that a request has lost its connection, which a restart of the target explains if there is no
+    // other.
+    void recordConnectionLost(std::uint64_t ticket);
     void setLimit(std::optional<double> requestsPerSecond);
     // Applies the limit that an entry node knows, while the target has not responded to this guard yet.
     void adoptKnownLimit(const RequestContext& context);
@@ -152,9 +186,14 @@
     GuardOptions m_options;
     SlotQueue m_queue;
     std::map<std::uint64_t, WaitingRequest> m_waiting;
-    std::map<std::uint64_t, util::Time> m_grantedAt;
+    std::map<std::uint64_t, Grant> m_grants;
     // Set while a limit is in force.
     std::optional<RequestPacer> m_pacer;
+    // Set if the service limits the requests to cold targets.
+    std::optional<ColdState> m_cold;
+    std::string m_healthPath;
+    util::Time m_announcedColdUntil {};
+    std::uint64_t m_pacedRequests = 0;
     // Whether a response has shown to this guard if the target names a limit.
     bool m_limitKnown = false;
     bool m_announcedLeaving = false;
--- a/tarragonhaven/header_names.h
+++ b/tarragonhaven/header_names.h
@@ -28,6 +28,8 @@
     // that the target is about to stop.
     std::string requestLimit;
     std::string leavingNotice;
+    // In a health response: the milliseconds for which the target remains cold.
+    std::string coldRemaining;
     // The scheme of an Authorization field that contains a key.
     std::string keyScheme = "Bearer";
     // Whether the status of a refusal states if the request may have run (503 rather than 502 for "not-run"),
--- a/tarragonhaven/request_trace.cc
+++ b/tarragonhaven/request_trace.cc
@@ -261,7 +261,7 @@
 
     bool isStateRecord(const std::string& kind)
     {
-        static const std::set<std::string> kinds { "breaker", "ejection", "dependency", "directory",
+        static const std::set<std::string> kinds { "breaker", "cold", "ejection", "dependency", "directory",
             "configuration", "evacuation", "node", "log", "fleet-view" };
         return kinds.contains(kind);
     }
--- a/tarragonhaven/service.h
+++ b/tarragonhaven/service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/evacuation/cold_start_policy.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/target.h"
 
@@ -24,6 +25,7 @@
     int floorPercent = 50;
     EjectionSensitivity sensitivity = EjectionSensitivity::Balanced;
     std::vector<Target> targets;
+    ColdStartPolicy coldStart {};
 
     friend auto operator<=>(const Service&, const Service&) = default;
     friend bool operator==(const Service&, const Service&) = default;
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -443,13 +443,28 @@
         serviceTime * (1 + state.evidence.lastReport().waiting), minimumFullRetention, maximumFullRetention);
 }
 
-double ServiceHealth::limitShare(const State& state)
+double ServiceHealth::limitShare(const State& state, double requestsPerSecond)
 {
-    const auto& limit = state.evidence.lastReport().requestLimit;
-    if (!limit || state.evidence.samples() < minimumSamples)
+    if (state.evidence.samples() < minimumSamples)
         return 1;
     const double serviceSeconds = std::exp2(state.evidence.logLatency()) / microsecondsPerSecond;
-    return std::clamp(*limit * serviceSeconds / state.target.slots, minimumLimitShare, 1.0);
+    return std::clamp(requestsPerSecond * serviceSeconds / state.target.slots, minimumLimitShare, 1.0);
+}
+
+bool ServiceHealth::isCold(const State& state, util::Time now)
+{
+    return now < state.lastReport + std::chrono::milliseconds(state.evidence.lastReport().coldMs);
+}
+
+double ServiceHealth::usableShare(const State& state, util::Time now) const
+{
+    const auto& report = state.evidence.lastReport();
+    const double limited = report.requestLimit ? limitShare(state, *report.requestLimit) : 1;
+    if (isCold(state, now) && report.coldPace)
+        return std::min({ limited, slowStartShare, limitShare(state, *report.coldPace) });
+    // The guard of a target whose service paces cold targets knows better than the record.
+    const bool reported = m_service.coldStart.limitsRequests() && state.lastReport != util::Time {};
+    return limited * (now < state.target.slowStartUntil && !reported ? slowStartShare : 1);
 }
 
 std::vector<TargetView> ServiceHealth::views(util::Time now) const
@@ -468,8 +483,8 @@
         const bool draining
             = state.evidence.lastReport().draining && now < state.lastReport + drainingRetention;
         view.leaving = state.leaving || !state.target.takesRequests() || draining;
-        view.weight = state.ejection.weight(now) * limitShare(state)
-            * (now < state.target.slowStartUntil ? slowStartShare : 1);
+        view.weight = state.ejection.weight(now) * usableShare(state, now);
+        view.cold = isCold(state, now);
         const auto& report = state.evidence.lastReport();
         const int reported = report.slotsInUse + report.waiting + state.sentSinceReport;
         view.load = static_cast<double>(std::max(reported, state.inFlight)) / state.target.slots;
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -61,8 +61,10 @@
     // others.
     bool blocksIdempotent = false;
     bool blocksNonIdempotent = false;
-    // Whether the limit that the target has named admits no further request now.
+    // Whether the limit that the target has named, or its pace while it is cold, admits no further request
+    // now.
     bool limited = false;
+    bool cold = false;
 };
 
 // One node's view of the targets of one service: the evidence against each target, the ejection states, and
@@ -131,8 +133,13 @@
 
     // Returns how long a report that all slots are in use counts.
     static util::Duration fullRetention(const State& state);
-    // Returns the share of its slots that a target can use within the limit that it has named.
-    static double limitShare(const State& state);
+    // Returns the share of its slots that a target can use within a limit in requests per second.
+    static double limitShare(const State& state, double requestsPerSecond);
+    // Returns the share of its slots for which a target is used within its limit and its pace while it is
+    // cold, or slow after its start.
+    [[nodiscard]] double usableShare(const State& state, util::Time now) const;
+    // Returns whether the target is cold, as its guard reported.
+    static bool isCold(const State& state, util::Time now);
     static double secondsSinceSuccess(const State& state, util::Time now);
     static bool countsForFloor(const State& state);
     [[nodiscard]] std::vector<double> sortedScores() const;
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -44,6 +44,11 @@
 ABSL_FLAG(std::string, evacuation_ms, "",
     "Limits: milliseconds after which an evacuated data centre gets no request, 0 to 3600000; 5000 if "
     "empty.");
+ABSL_FLAG(std::string, cold_overshoot, "",
+    "Limits: requests that a cold target may get in a second, as a multiple of those that it tolerates, 1 to "
+    "10; 1.5 if empty.");
+ABSL_FLAG(std::string, cold_slack, "",
+    "Limits: requests beyond --cold_overshoot that a cold target may get in a second; 8 if empty.");
 
 namespace tarragonhaven {
 
@@ -71,7 +76,8 @@
             absl::GetFlag(FLAGS_quota_slack), absl::GetFlag(FLAGS_retry_window_seconds),
             absl::GetFlag(FLAGS_retry_share), absl::GetFlag(FLAGS_retry_slack),
             absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds),
-            absl::GetFlag(FLAGS_evacuation_ms) };
+            absl::GetFlag(FLAGS_evacuation_ms), absl::GetFlag(FLAGS_cold_overshoot),
+            absl::GetFlag(FLAGS_cold_slack) };
     }
 
     util::Faults applyEnvironment()
@@ -81,7 +87,7 @@
                 "peer_address", "operator_address", "metrics_address", "store_address", "log_level",
                 "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
-                "grace_seconds", "evacuation_ms" });
+                "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -32,6 +32,10 @@
             = parseOptionalNumber(raw.evacuationMs, 0, maximumWindowSeconds * 1000, "evacuation_ms", faults);
         if (evacuationMs)
             policy.evacuationBound = util::fromSeconds(*evacuationMs / 1000);
+        policy.coldPace.overshoot = parseOptionalNumber(raw.coldOvershoot, 1, 10, "cold_overshoot", faults)
+                                        .value_or(policy.coldPace.overshoot);
+        policy.coldPace.slack = parseOptionalNumber(raw.coldSlack, 0, maximumRequests, "cold_slack", faults)
+                                    .value_or(policy.coldPace.slack);
         return policy;
     }
 
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -60,6 +60,8 @@
     double graceSeconds = 0;
     // Settings that have their default if they are empty: the platform leaves out those without a value.
     std::string evacuationMs;
+    std::string coldOvershoot;
+    std::string coldSlack;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -132,6 +132,7 @@
 {
     GuardOptions options;
     options.headerNames = m_dependencies.headerNames;
+    options.coldPace = m_dependencies.settings.policy.coldPace;
     options.breaker.emplace();
     options.refusePredictedTimeouts = true;
     options.predictedTimeShare = predictedTimeShare;
@@ -196,6 +197,7 @@
 void SidecarTraffic::applyConfigurationAndDirectory()
 {
     if (m_directory) {
+        m_guard.setColdStart(coldStartPolicies());
         m_guard.apply(*m_directory);
         querySuspects();
     }
@@ -330,6 +332,27 @@
     }
 }
 
+std::map<ServiceName, ColdStartPolicy> SidecarTraffic::coldStartPolicies() const
+{
+    std::map<ServiceName, ColdStartPolicy> policies;
+    if (m_configuration) {
+        for (const auto& service : m_configuration->index().services)
+            policies.emplace(service.name, service.coldStart);
+    }
+    return policies;
+}
+
+void SidecarTraffic::logColdChanges()
+{
+    for (const auto& [target, change, pace] : m_guard.takeColdChanges())
+        m_dependencies.log.write(LogLevel::Warning, "cold",
+            { { "target", target.text }, { "event", change.cold ? "cold" : "warm" },
+                { "source", toString(change.source) },
+                { "remainingMs",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(change.remaining).count() },
+                { "requestsPerSecond", pace } });
+}
+
 void SidecarTraffic::logAttempt(const AttemptRecord& attempt)
 {
     const auto level = attempt.status > 0 ? LogLevel::Info : LogLevel::Warning;
@@ -347,6 +370,8 @@
         fields["firstByteMs"] = milliseconds(*attempt.timeToFirstByte);
     if (attempt.knownLimit)
         fields["knownLimit"] = *attempt.knownLimit;
+    if (attempt.coldPace)
+        fields["coldPace"] = *attempt.coldPace;
     if (attempt.notice.requestsPerSecond)
         fields["namedLimit"] = *attempt.notice.requestsPerSecond;
     if (attempt.notice.malformedLimit)
@@ -374,6 +399,7 @@
     sendEvacuations();
     sendSuspects();
     logBreakerChanges();
+    logColdChanges();
     if (++m_ticks % ticksPerEvaluation == 0) {
         m_admission.tick();
         m_entry.tick();
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -14,6 +14,7 @@
 #include "tarragonhaven/traffic_thread.h"
 #include "util/bounded_ring.h"
 
+#include <map>
 #include <string>
 
 namespace tarragonhaven {
@@ -71,8 +72,10 @@
     void handleSuspects(const Endpoint& source, const ControlEnvelope& envelope);
     void querySuspects();
     void logBreakerChanges();
+    void logColdChanges();
     void logAttempt(const AttemptRecord& attempt);
     [[nodiscard]] GuardOptions guardOptions();
+    [[nodiscard]] std::map<ServiceName, ColdStartPolicy> coldStartPolicies() const;
     void onTick();
     void advanceStop();
     [[nodiscard]] TrafficSources sources() const;
--- a/tarragonhaven/target_report.h
+++ b/tarragonhaven/target_report.h
@@ -42,14 +42,19 @@
     std::optional<double> requestLimit;
     // Whether the target has announced to this incarnation of the guard that it is about to stop.
     bool announcedLeaving = false;
-    // Milliseconds until the limit admits one more request after those that wait.
+    // Milliseconds until the limit, or the pace of a cold target, admits one more request after those that
+    // wait.
     std::int64_t limitedMs = 0;
     // Set if the guard refuses requests because the target's data centre is evacuated: the position in the
     // store's history as of which it is.
     std::optional<StorePosition> evacuatedAsOf;
+    // While the target is cold: the requests per second that the guard sends it, and the milliseconds for
+    // which it remains cold.
+    std::optional<double> coldPace;
+    std::int64_t coldMs = 0;
     MSGPACK_DEFINE_ARRAY(incarnation, sequence, slots, slotsInUse, waiting, draining, successes, failures,
         overdue, logLatencySum, sinceSuccessMs, idempotentBlockedMs, nonIdempotentBlockedMs, startTimeMs,
-        limitKnown, requestLimit, announcedLeaving, limitedMs, evacuatedAsOf);
+        limitKnown, requestLimit, announcedLeaving, limitedMs, evacuatedAsOf, coldPace, coldMs);
 
     friend bool operator==(const TargetReport&, const TargetReport&) = default;
 };
--- a/tarragonhaven/testing/codec_test.cc
+++ b/tarragonhaven/testing/codec_test.cc
@@ -21,6 +21,8 @@
         limited.requestLimit = 2.5;
         limited.limitedMs = 400;
         limited.evacuatedAsOf = { 1, 7 };
+        limited.coldPace = 14;
+        limited.coldMs = 2500;
         OpenFrame hinted { "r", "o", "t", false, 1000, {} };
         hinted.knownTargetLimit = 2.5;
         hinted.fingerprint = { 7 };
--- a/tarragonhaven/testing/directory_tracker_test.cc
+++ b/tarragonhaven/testing/directory_tracker_test.cc
@@ -185,6 +185,27 @@
     }
 }
 
+// Guards against targets that all count as cold again whenever a store is restored, since their records state
+// what was true when they were written.
+TEST_CASE("DirectoryTracker counts the time for which a target is cold from the first reading of its record")
+{
+    auto cold = record("a", 1);
+    cold.slowStartRemaining = std::chrono::seconds(3);
+    DirectoryTracker tracker({ .peerPort = 7000 });
+    tracker.onListing({ cold }, 1, at(0));
+    CHECK(find(tracker.takeIfChanged(), "a")->slowStartUntil == at(3000));
+    tracker.beginEpoch(at(1000));
+    tracker.onListing({ cold }, 1, at(1000));
+    CHECK(tracker.takeIfChanged() == nullptr);
+    // The target becomes cold again, then warm.
+    cold.sequence = 2;
+    cold.revision = 2;
+    tracker.onRecord(cold, at(9000));
+    CHECK(find(tracker.takeIfChanged(), "a")->slowStartUntil == at(12'000));
+    tracker.onRecord(record("a", 3, 100, 3), at(10'000));
+    CHECK(find(tracker.takeIfChanged(), "a")->slowStartUntil == util::Time {});
+}
+
 TEST_CASE("DirectoryTracker yields the newest record of each target for shuffled records")
 {
     for (unsigned seed = 1; seed <= 200; ++seed) {
--- a/tarragonhaven/testing/evacuation_test.cc
+++ b/tarragonhaven/testing/evacuation_test.cc
@@ -114,7 +114,7 @@
     };
     REQUIRE(send() == 1);
     REQUIRE(send() == 1);
-    CHECK_FALSE(target->sendRefusal());
+    CHECK_FALSE(target->refusalBeforeSend(1));
     const bool byPeer = GENERATE(true, false);
     if (byPeer) {
         CHECK_FALSE(guard.recordPeerEvacuation({ "west", true, { 1, 9 } }));
@@ -133,7 +133,7 @@
         CHECK(outcomes[i].error().run == RunState::NotRun);
     }
     CHECK(target->busy());
-    CHECK(target->sendRefusal());
+    CHECK(target->refusalBeforeSend(1));
     CHECK(target->report().evacuatedAsOf == StorePosition { 1, 9 });
     CHECK(target->report().draining);
     // The withdrawal arrives from the store, or from a peer.
--- a/tarragonhaven/testing/guard_test.cc
+++ b/tarragonhaven/testing/guard_test.cc
@@ -1,6 +1,8 @@
-// Tests what a guard remembers of its targets when the directory changes, without sockets.
+// Tests what a guard remembers of its targets when the directory changes, and how it learns whether they are
+// cold.
 
 #include "tarragonhaven/guard.h"
+#include "tarragonhaven/testing/scripted_target.h"
 
 #include <catch2/catch.hpp>
 
@@ -91,3 +93,41 @@
         CHECK_FALSE(isLeaving());
     }
 }
+
+// Guards against a guard that paces its target for the whole time of a cold start although the target is
+// warm, and against probes that take up the target's slots if it does not answer them.
+TEST_CASE(
+    "a guard that starts asks its target once whether it is cold, and more often only if it must", "[net]")
+{
+    const std::string answer
+        = GENERATE("HTTP/1.1 200 OK\r\nCold: 0\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\n", "");
+    const bool answers = answer.find("Cold") != std::string::npos;
+    boost::asio::io_context io;
+    int probes = 0;
+    testing::ScriptedTarget scripted(io, "127.0.0.1", "", [&](const testing::ScriptedRequest&) {
+        ++probes;
+        return testing::ScriptedAnswer { answer };
+    });
+    auto target = makeTarget(100);
+    target.address = scripted.address();
+    GuardOptions options;
+    options.headerNames.coldRemaining = "Cold";
+    Guard guard(io, { "i1" }, 1, options);
+    guard.setColdStart({ { { "status" }, { std::chrono::milliseconds(1800), 14, "/up" } } });
+    guard.apply(directoryWith({ target }));
+    std::vector<ColdChange> changes;
+    const auto begin = util::BootClock::now();
+    while (changes.size() < 2 && util::BootClock::now() < begin + std::chrono::seconds(4)) {
+        guard.tick();
+        for (const auto& change : guard.takeColdChanges())
+            changes.push_back(change.change);
+        io.run_for(std::chrono::milliseconds(20));
+    }
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[0].cold);
+    CHECK(changes[0].source == ColdSource::Start);
+    CHECK(changes[1].source == (answers ? ColdSource::Health : ColdSource::Elapsed));
+    CHECK((util::BootClock::now() - begin < std::chrono::seconds(1)) == answers);
+    CHECK(probes >= 1);
+    CHECK(probes <= (answers ? 1 : 3));
+}
--- a/tarragonhaven/testing/guarded_target_test.cc
+++ b/tarragonhaven/testing/guarded_target_test.cc
@@ -256,3 +256,111 @@
     target.guarded.releaseSlot(target.ticket);
     CHECK(target.guarded.report().failures == 1);
 }
+
+// Guards against a target that crashes after its start, because a guard that knows nothing of it sends it
+// what it takes when it is warm.
+TEST_CASE("a target of which nothing is known gets no more requests than a cold one tolerates")
+{
+    SingleSlotTarget target;
+    const auto created = util::BootClock::now();
+    target.guarded.setColdStart({ std::chrono::milliseconds(1500), 14, "" });
+    std::vector<util::Time> sent;
+    while (util::BootClock::now() < created + std::chrono::milliseconds(1400)) {
+        const auto granted = target.acquireSlot(SingleSlotTarget::request(std::chrono::milliseconds(1)));
+        if (granted && *granted) {
+            sent.push_back(util::BootClock::now());
+            // Its connection stays open.
+            target.guarded.recordSent(target.ticket);
+        }
+        target.guarded.releaseSlot(target.ticket);
+        target.guarded.tick();
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CHECK(sent.size() >= 14);
+    CHECK(sent.size() <= 14 * 1.4 + 4);
+    CHECK(target.guarded.report().coldPace == 14.0);
+    CHECK(target.guarded.report().coldMs > 0);
+    CHECK(target.guarded.report().limitedMs > 0);
+    CHECK(target.guarded.pacedRequests() > 0);
+    // The pace refuses as not run, and names itself.
+    auto context = SingleSlotTarget::request(std::chrono::seconds(1));
+    context.mayQueue = false;
+    std::optional<Outcome<void>> outcome;
+    do {
+        outcome = target.acquireSlot(context);
+        REQUIRE(outcome);
+        target.guarded.releaseSlot(target.ticket);
+    } while (*outcome);
+    CHECK(outcome->error().reason == RefusalReason::NoFreeSlot);
+    CHECK(outcome->error().detail == "the target is cold and gets 14 requests per second");
+    // A service without the limit has none.
+    target.guarded.setColdStart({});
+    CHECK_FALSE(target.guarded.report().coldPace);
+    CHECK(target.acquireSlot(context));
+}
+
+// Guards against a target that has just restarted and gets at once all the requests that were granted slots
+// before the guard saw the restart.
+TEST_CASE("requests that were granted before their target lost its connections are sent at its cold pace")
+{
+    boost::asio::io_context io;
+    auto record = SingleSlotTarget::makeTarget();
+    record.slots = 20;
+    GuardedTarget guarded(io, record, 1, {});
+    guarded.setColdStart({ std::chrono::seconds(3), 14, "/health" });
+    REQUIRE(guarded.takeColdProbe());
+    guarded.recordColdProbe(util::Duration {});
+    CHECK_FALSE(guarded.coldPace());
+    std::vector<std::uint64_t> tickets;
+    const auto grant = [&](bool send) {
+        tickets.push_back(guarded.acquireSlot(SingleSlotTarget::request(std::chrono::seconds(5)),
+            [](const Outcome<void>& result) { CHECK(result); }));
+        io.restart();
+        io.poll();
+        CHECK_FALSE(guarded.refusalBeforeSend(tickets.back()));
+        if (send)
+            guarded.recordSent(tickets.back());
+    };
+    // No connection is open, so the first request is paced, until a probe says that the target is warm.
+    grant(true);
+    CHECK(guarded.coldPace());
+    std::this_thread::sleep_for(ColdState::minimumProbeInterval);
+    REQUIRE(guarded.takeColdProbe());
+    guarded.recordColdProbe(util::Duration {});
+    for (int i = 0; i < 12; ++i)
+        grant(i < 1);
+    CHECK_FALSE(guarded.coldPace());
+    // A lost connection beside one that stays open is no restart.
+    guarded.recordResult(tickets[1], TargetResult::HardFailure);
+    CHECK_FALSE(guarded.coldPace());
+    guarded.recordResult(tickets[0], TargetResult::HardFailure);
+    REQUIRE(guarded.coldPace() == 14.0);
+    const auto sent = std::count_if(tickets.begin() + 2, tickets.end(),
+        [&](std::uint64_t ticket) { return !guarded.refusalBeforeSend(ticket); });
+    CHECK(sent == 3);
+}
+
+// Guards against urgent requests that wait behind others, and against requests held until their deadline,
+// when the pace of cold targets is all the capacity that there is.
+TEST_CASE("a cold target admits requests by rank, and refuses at once what its pace cannot serve in time")
+{
+    SingleSlotTarget target;
+    target.guarded.setColdStart({ std::chrono::seconds(3), 2, "" });
+    auto late = SingleSlotTarget::request(std::chrono::milliseconds(1200));
+    late.rank = 2;
+    std::optional<Outcome<void>> lateOutcome;
+    target.guarded.acquireSlot(late, [&](Outcome<void> outcome) { lateOutcome = outcome; });
+    const auto refused = target.acquireSlot(SingleSlotTarget::request(std::chrono::milliseconds(200)));
+    REQUIRE(refused);
+    REQUIRE_FALSE(*refused);
+    CHECK(refused->error().reason == RefusalReason::QueueFull);
+    CHECK(refused->error().run == RunState::NotRun);
+    auto nested = SingleSlotTarget::request({});
+    nested.queueDeadline = {};
+    nested.rank = internalRequestRank;
+    CHECK_FALSE(target.acquireSlot(nested));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    target.guarded.tick();
+    CHECK(target.latestOutcome());
+    CHECK_FALSE(lateOutcome);
+}
--- a/tarragonhaven/testing/service_health_test.cc
+++ b/tarragonhaven/testing/service_health_test.cc
@@ -94,6 +94,40 @@
 
 } // namespace
 
+// Guards against entries that together send a cold target far more than it takes, or that use it little
+// because of an old record although its guard knows that it is warm.
+TEST_CASE("a target is used by its pace while its guard reports that it is cold, and fully once it is warm")
+{
+    const util::Time now { std::chrono::hours(1) };
+    Service service { { "s" }, 70, EjectionSensitivity::Balanced, {} };
+    service.targets.push_back({ { "t0" }, { "i0" }, {}, 10 });
+    service.targets[0].slowStartUntil = now + std::chrono::seconds(3);
+    service.coldStart = { std::chrono::seconds(3), 5, "/health" };
+    ServiceHealth health(service);
+    const auto view = [&](util::Duration after) { return health.views(now + after).front(); };
+    CHECK(view({}).weight == Approx(0.4));
+    TargetReport report { .incarnation = 1, .slots = 10 };
+    report.coldPace = 5;
+    report.coldMs = 2000;
+    report.limitedMs = 100;
+    for (; report.sequence < 5; ++report.sequence) {
+        health.recordReport({ "t0" }, report, now);
+        ++report.successes;
+        report.logLatencySum += std::log2(0.2e6);
+    }
+    // Five requests per second of 0.2 s use one slot of ten.
+    CHECK(view({}).weight == Approx(0.1));
+    CHECK(view({}).cold);
+    CHECK(view({}).limited);
+    CHECK_FALSE(view(std::chrono::milliseconds(100)).limited);
+    CHECK(view(std::chrono::milliseconds(2100)).weight == Approx(1));
+    report.coldPace.reset();
+    report.coldMs = 0;
+    health.recordReport({ "t0" }, report, now + std::chrono::milliseconds(500));
+    CHECK(view(std::chrono::milliseconds(500)).weight == Approx(1));
+    CHECK_FALSE(view(std::chrono::milliseconds(500)).cold);
+}
+
 TEST_CASE("a target that is ten times slower or fails is ejected after a few responses")
 {
     struct Case {
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -37,6 +37,7 @@
     CHECK(parsed->policy.quotaWindow == std::chrono::seconds(5));
     CHECK_FALSE(parsed->metricsAddress);
     CHECK(parsed->policy.evacuationBound == std::chrono::seconds(5));
+    CHECK(parsed->policy.coldPace == ColdPaceBound { 1.5, 8 });
     auto raw = validSettings();
     raw.service = "";
     raw.metricsAddress = "here";
@@ -46,6 +47,8 @@
     raw.floorShare = 1.5;
     raw.graceSeconds = 0;
     raw.evacuationMs = "soon";
+    raw.coldOvershoot = "0.5";
+    raw.coldSlack = "-1";
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -53,5 +56,6 @@
         faultPaths.insert(fault.path);
     CHECK(faultPaths
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
-            "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms" });
+            "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms", "cold_overshoot",
+            "cold_slack" });
 }
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -83,6 +83,11 @@
             page.gauge("guarded_evacuated",
                 "Whether a guarded target gets no requests because its data centre is evacuated.",
                 target->isEvacuated() ? 1 : 0, labels);
+            page.gauge("guarded_cold", "Whether a guarded target is cold, or may be.",
+                target->coldPace() ? 1 : 0, labels);
+            page.counter("paced_requests_total",
+                "Requests that a guarded target did not get at once because it was cold.",
+                static_cast<double>(target->pacedRequests()), labels);
             page.gauge("guarded_leaving", "Whether a guarded target has announced that it is about to stop.",
                 target->announcedLeaving() ? 1 : 0, labels);
         }
@@ -90,7 +95,9 @@
         for (const auto& [service, health] : entry.services()) {
             std::map<std::string_view, int> counts { { "active", 0 }, { "evacuated", 0 }, { "held", 0 },
                 { "leaving", 0 }, { "not-active", 0 } };
+            int cold = 0;
             for (const auto& view : health.views(now)) {
+                cold += view.cold ? 1 : 0;
                 const bool active = view.ejectionState == EjectionState::Active;
                 ++counts[view.target->evacuated ? "evacuated"
                         : view.leaving          ? "leaving"
@@ -101,6 +108,8 @@
             for (const auto& [state, count] : counts)
                 page.gauge("targets", "Targets of a service by their state at this entry node.", count,
                     { { "service", service.text }, { "state", std::string(state) } });
+            page.gauge("cold_targets", "Targets of a service that are cold, as their guards reported.", cold,
+                { { "service", service.text } });
             page.gauge("slots_in_use", "Slots of the targets of a service that this entry node uses.",
                 health.servingSlots(), { { "service", service.text } });
         }
