Send requests only to the regions that they allow

Organisations and routes that may use some regions only had no means to say so.

The entry leaves out all other targets when it chooses one, and checks again when it makes an attempt, so that no way of choosing gets round it. If no target is known to be in an allowed region, the request is refused at once as region-not-allowed, 503, not run. An unknown region allows nothing, an empty list neither; regions in lists that no data centre belongs to are logged. Guards are in the data centre of their targets, so bodies reach no other node.

Ruled out: a check at guards as well, since it comes after the body has been sent.

--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -209,6 +209,10 @@
     accepted.idempotencyKey = std::string(fieldValue(head.fields, idempotencyKeyField));
     accepted.context.organisation = *organisation ? (*organisation)->name : OrganisationName {};
     accepted.context.service = m_splitter.selectService(accepted.route);
+    accepted.regions = RegionRestriction(
+        accepted.route.allowedRegions, *organisation ? (*organisation)->allowedRegions : std::nullopt);
+    if (const auto refused = regionRefusal(accepted))
+        return tl::unexpected(*refused);
     accepted.context.idempotent = accepted.route.idempotent;
     accepted.context.deadline = deadlineOf(head, accepted.route);
     accepted.context.rank = rankOf(accepted.route, *organisation);
@@ -252,13 +256,35 @@
     return target.dataCentre == m_dependencies.dataCentre ? 1 : remoteDistance;
 }
 
-TargetChoice Entry::choose(const ServiceName& service, ChoiceRequest request)
+bool Entry::isAllowed(const Target& target, const RegionRestriction& regions) const
+{
+    return regions.allows(target.dataCentre, m_dependencies.options.regions);
+}
+
+std::optional<Refusal> Entry::regionRefusal(const AcceptedRequest& accepted) const
+{
+    if (!accepted.regions.restricts() || !m_directory)
+        return std::nullopt;
+    const auto& service = accepted.context.service;
+    const auto& targets = m_directory->targetsOf(service);
+    const bool any = std::any_of(targets.begin(), targets.end(),
+        [this, &accepted](const Target& target) { return isAllowed(target, accepted.regions); });
+    if (any)
+        return std::nullopt;
+    return Refusal { RefusalReason::RegionNotAllowed, RunState::NotRun, notReadyRetryAfter,
+        absl::StrCat("none of the ", targets.size(), " targets of ", service.text,
+            " is known to be in an allowed region: ", accepted.regions.toString()) };
+}
+
+TargetChoice Entry::choose(
+    const ServiceName& service, ChoiceRequest request, const RegionRestriction& regions)
 {
     const auto* health = this->health(service);
     if (!health)
         return { nullptr, {}, "service not declared" };
     const auto now = util::BootClock::now();
     auto views = health->views(now);
+    std::erase_if(views, [&](const TargetView& view) { return !isAllowed(*view.target, regions); });
     if (!m_notices.empty()) {
         for (auto& view : views)
             view.leaving = view.leaving || m_notices.find(*view.target).leaving;
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -5,6 +5,7 @@
 #include "tarragonhaven/directory.h"
 #include "tarragonhaven/entry_options.h"
 #include "tarragonhaven/evacuation/evacuation_reports.h"
+#include "tarragonhaven/evacuation/region_restriction.h"
 #include "tarragonhaven/guard.h"
 #include "tarragonhaven/key_filter.h"
 #include "tarragonhaven/log_channel.h"
@@ -38,6 +39,7 @@
     std::string keyDigest;
     // The value of the Idempotency-Key field, or empty.
     std::string idempotencyKey;
+    RegionRestriction regions;
 };
 
 // The state and decisions of the entry node for callers' requests: authenticates requests, finds their
@@ -89,7 +91,11 @@
     [[nodiscard]] const CallerLimits& callerLimits() const;
 
     ServiceHealth* health(const ServiceName& service);
-    TargetChoice choose(const ServiceName& service, ChoiceRequest request);
+    // Chooses among the targets in the regions that the request may be sent to.
+    TargetChoice choose(
+        const ServiceName& service, ChoiceRequest request, const RegionRestriction& regions = {});
+    // Returns whether a request may be sent to the target, and so to the node that guards it.
+    [[nodiscard]] bool isAllowed(const Target& target, const RegionRestriction& regions) const;
     // Excludes a target from choices for `time`, unless no other target can be chosen.
     void avoid(const TargetName& target, util::Duration time);
     // Records a report of a guard node about its target.
@@ -134,6 +140,8 @@
     tl::expected<const Route*, Refusal> findRoute(const RequestHead& head) const;
     tl::expected<const Organisation*, Refusal> findOrganisation(
         const Route& route, const std::optional<PresentedKey>& key, std::string& digest) const;
+    // Returns the refusal of a request if no target of its service is in a region that it may be sent to.
+    [[nodiscard]] std::optional<Refusal> regionRefusal(const AcceptedRequest& accepted) const;
     // Records that a guard refuses requests because its data centre is evacuated.
     void recordEvacuation(
         const ServiceName& service, const TargetName& target, const StorePosition& asOf, util::Time now);
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -94,8 +94,9 @@
 TargetChoice EntryExchange::choose()
 {
     auto& context = m_request.context;
-    const auto attempt = m_planner.next(
-        [this](const ChoiceRequest& request) { return m_entry.choose(m_request.context.service, request); });
+    const auto attempt = m_planner.next([this](const ChoiceRequest& request) {
+        return m_entry.choose(m_request.context.service, request, m_request.regions);
+    });
     context.mayQueue = attempt.mayQueue;
     context.bypassesBreaker = attempt.bypassesBreaker;
     return attempt.choice;
@@ -131,6 +132,9 @@
 
 EntryExchange::Attempt EntryExchange::makeExchange(const Target& target, const RequestContext& context)
 {
+    // Checked here for all attempts, however their targets were chosen.
+    if (!m_entry.isAllowed(target, m_request.regions))
+        return {};
     auto attemptContext = context;
     attemptContext.knownTargetLimit = m_entry.noticeOf(target).requestsPerSecond;
     const auto& dependencies = m_entry.dependencies();
@@ -329,8 +333,9 @@
 void EntryExchange::startHedge(const OutcomeHandler<ResponseHead>& handler)
 {
     const auto& service = m_request.context.service;
-    const auto choice = m_planner.hedge(
-        [this, &service](const ChoiceRequest& request) { return m_entry.choose(service, request); });
+    const auto choice = m_planner.hedge([this, &service](const ChoiceRequest& request) {
+        return m_entry.choose(service, request, m_request.regions);
+    });
     if (!choice.target)
         return;
     auto context = m_request.context;
--- a/tarragonhaven/entry_options.h
+++ b/tarragonhaven/entry_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/evacuation/region_table.h"
 #include "tarragonhaven/header_names.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/target_ejection.h"
@@ -54,6 +55,8 @@
     // run other requests.
     bool prioritizeInternalRequests = false;
     EjectionOptions ejection;
+    // The regions of data centres, for requests that may be sent to some regions only.
+    RegionTable regions;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/names.h
+++ b/tarragonhaven/names.h
@@ -2,12 +2,16 @@
 
 #include "util/tagged.h"
 
+#include <vector>
+
 namespace tarragonhaven {
 
 // The name of an instance: a machine of the fleet that runs one or more targets and one node beside them.
 using InstanceName = util::Tagged<struct InstanceTag>;
 // The name of a data centre: a zone of instances that share a site.
 using DataCentreName = util::Tagged<struct DataCentreTag>;
+// The name of a region: the data centres in which requests with the same restriction may run.
+using RegionName = util::Tagged<struct RegionTag>;
 // The name of an organisation: a customer whose callers share a rate limit, a burst and a set of keys.
 using OrganisationName = util::Tagged<struct OrganisationTag>;
 // The name of a service: a set of interchangeable targets.
@@ -17,4 +21,7 @@
 // The name of a route, which maps a method and a path pattern to a service.
 using RouteName = util::Tagged<struct RouteTag>;
 
+// A list of the regions that requests may be sent to.
+using RegionList = std::vector<RegionName>;
+
 } // namespace tarragonhaven
--- a/tarragonhaven/organisation.h
+++ b/tarragonhaven/organisation.h
@@ -18,6 +18,8 @@
     std::vector<ApiKey> keys;
     // If set, overrides the priority of the route; 0 is the most urgent.
     std::optional<int> priority;
+    // The regions that requests may be sent to; all if not set.
+    std::optional<RegionList> allowedRegions;
 
     friend auto operator<=>(const Organisation&, const Organisation&) = default;
     friend bool operator==(const Organisation&, const Organisation&) = default;
--- a/tarragonhaven/refusal.cc
+++ b/tarragonhaven/refusal.cc
@@ -50,6 +50,7 @@
         { RefusalReason::Stopping, "stopping", 503 },
         { RefusalReason::CrashesTargets, "crashes-targets", 503 },
         { RefusalReason::TargetEvacuated, "target-evacuated", 503 },
+        { RefusalReason::RegionNotAllowed, "region-not-allowed", 503 },
     } };
 
     const ReasonRow& rowOf(RefusalReason reason)
--- a/tarragonhaven/refusal.h
+++ b/tarragonhaven/refusal.h
@@ -60,6 +60,8 @@
     CrashesTargets,
     // The target's data centre is evacuated.
     TargetEvacuated,
+    // No target of the service is in a region that the request may be sent to.
+    RegionNotAllowed,
 };
 
 // The outcome that a caller gets instead of a target's response.
@@ -86,6 +88,6 @@
 std::string_view toString(RunState run);
 
 // The number of reasons. The values of the enumerators range from 0 to refusalReasonCount - 1.
-inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::TargetEvacuated) + 1;
+inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::RegionNotAllowed) + 1;
 
 } // namespace tarragonhaven
--- a/tarragonhaven/route.h
+++ b/tarragonhaven/route.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
     int priority = 0;
     // The response time within which a response has its full value. 0 if not declared.
     util::Duration objective {};
+    // The regions that requests may be sent to; all if not set.
+    std::optional<RegionList> allowedRegions;
 
     friend auto operator<=>(const Route&, const Route&) = default;
     friend bool operator==(const Route&, const Route&) = default;
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -49,6 +49,8 @@
     "10; 1.5 if empty.");
 ABSL_FLAG(std::string, cold_slack, "",
     "Limits: requests beyond --cold_overshoot that a cold target may get in a second; 8 if empty.");
+ABSL_FLAG(std::string, regions, "",
+    "Regions: JSON object of data centres and the names of their regions; without it no region is known.");
 
 namespace tarragonhaven {
 
@@ -77,7 +79,7 @@
             absl::GetFlag(FLAGS_retry_share), absl::GetFlag(FLAGS_retry_slack),
             absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds),
             absl::GetFlag(FLAGS_evacuation_ms), absl::GetFlag(FLAGS_cold_overshoot),
-            absl::GetFlag(FLAGS_cold_slack) };
+            absl::GetFlag(FLAGS_cold_slack), absl::GetFlag(FLAGS_regions) };
     }
 
     util::Faults applyEnvironment()
@@ -87,7 +89,7 @@
                 "peer_address", "operator_address", "metrics_address", "store_address", "log_level",
                 "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
-                "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack" });
+                "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/endpoint.h"
+#include "tarragonhaven/evacuation/region_table.h"
 #include "tarragonhaven/fleet_policy.h"
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
@@ -31,6 +32,7 @@
     LogLevel logLevel = LogLevel::Info;
     LogBudgetOptions logBudget;
     FleetPolicy policy;
+    RegionTable regions;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -62,6 +64,7 @@
     std::string evacuationMs;
     std::string coldOvershoot;
     std::string coldSlack;
+    std::string regions;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -80,6 +80,7 @@
         options.serveWhileStopping = true;
         options.prioritizeInternalRequests = true;
         options.ejection = ejectionOptions();
+        options.regions = settings.regions;
         return options;
     }
 
@@ -183,8 +184,10 @@
 
 void SidecarTraffic::handleEvent(DiscoveryEvent event)
 {
-    if (auto* accepted = std::get_if<DeclarationsAccepted>(&event))
+    if (auto* accepted = std::get_if<DeclarationsAccepted>(&event)) {
         m_configuration = std::move(accepted->configuration);
+        logUnknownRegions();
+    }
     if (auto* changed = std::get_if<DirectoryChanged>(&event)) {
         const auto before = std::exchange(m_directory, std::move(changed->directory));
         if (before)
@@ -194,6 +197,17 @@
     applyConfigurationAndDirectory();
 }
 
+void SidecarTraffic::logUnknownRegions()
+{
+    auto names = nlohmann::ordered_json::array();
+    for (const auto& region : unknownRegions(*m_configuration, m_dependencies.settings.regions))
+        names.push_back(region.text);
+    if (!names.empty())
+        m_dependencies.log.write(LogLevel::Warning, "configuration",
+            { { "event", "unknown-regions" }, { "revision", m_configuration->revision() },
+                { "regions", names }, { "dataCentres", m_dependencies.settings.regions.size() } });
+}
+
 void SidecarTraffic::applyConfigurationAndDirectory()
 {
     if (m_directory) {
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -73,6 +73,8 @@
     void querySuspects();
     void logBreakerChanges();
     void logColdChanges();
+    // Logs the regions in the declarations that no data centre belongs to.
+    void logUnknownRegions();
     void logAttempt(const AttemptRecord& attempt);
     [[nodiscard]] GuardOptions guardOptions();
     [[nodiscard]] std::map<ServiceName, ColdStartPolicy> coldStartPolicies() const;
--- a/tarragonhaven/testing/entry_test.cc
+++ b/tarragonhaven/testing/entry_test.cc
@@ -116,4 +116,85 @@
     CHECK(apply({ 1, 7 }, { own, other }).empty());
 }
 
+// Guards against requests that leave the regions which their route or their organisation allows, also because
+// a region is not known.
+TEST_CASE("a request may be sent only to regions that both its route and its organisation allow")
+{
+    using List = std::optional<RegionList>;
+    const List none;
+    const List nowhere = RegionList {};
+    const List north = RegionList { { "north" } };
+    const List both = RegionList { { "south" }, { "north" } };
+    const List unknown = RegionList { { "east" } };
+    const RegionTable table { { { "dc1" }, { "north" } }, { { "dc2" }, { "south" } } };
+    const RegionTable partial { { { "dc1" }, { "north" } } };
+    struct Row {
+        List route;
+        List organisation;
+        RegionTable table;
+        std::set<std::string> dataCentres;
+    };
+    const std::vector<Row> rows { { none, none, table, { "dc1", "dc2" } },
+        { none, none, {}, { "dc1", "dc2" } }, { north, none, table, { "dc1" } },
+        { none, north, table, { "dc1" } }, { both, north, table, { "dc1" } },
+        { both, none, table, { "dc1", "dc2" } }, { both, none, partial, { "dc1" } }, { north, none, {}, {} },
+        { north, unknown, table, {} }, { unknown, none, table, {} }, { nowhere, none, table, {} },
+        { none, nowhere, table, {} } };
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        CAPTURE(i);
+        auto declaration = testDeclaration({});
+        for (auto& route : declaration.index.routes)
+            route.allowedRegions = rows[i].route;
+        for (auto& organisation : declaration.organisations)
+            organisation.allowedRegions = rows[i].organisation;
+        const auto configuration = Configuration::fromDeclaration(
+            2, std::make_shared<const std::string>("{}"), std::move(declaration));
+        REQUIRE(configuration);
+        auto options = sidecarOptions();
+        options.regions = rows[i].table;
+        StandaloneEntry standalone(options);
+        auto& entry = standalone.entry;
+        entry.apply(*configuration, Directory::fromConfiguration(**configuration));
+        RequestHead head { "GET", "/status/1", { { "X-Api-Key", testKey("harbour") } } };
+        const auto accepted = entry.accept(head);
+        if (rows[i].dataCentres.empty()) {
+            REQUIRE_FALSE(accepted);
+            CHECK(accepted.error().reason == RefusalReason::RegionNotAllowed);
+            CHECK(httpStatus(accepted.error().reason) == 503);
+            CHECK(accepted.error().run == RunState::NotRun);
+            continue;
+        }
+        REQUIRE(accepted);
+        std::set<std::string> used;
+        for (int draw = 0; draw < 100; ++draw) {
+            ChoiceRequest request;
+            request.spilloverLoad = draw % 2;
+            const auto choice = entry.choose({ "status" }, request, accepted->regions);
+            REQUIRE(choice.target);
+            CHECK(entry.isAllowed(*choice.target, accepted->regions));
+            used.insert(choice.target->dataCentre.text);
+        }
+        CHECK(used == rows[i].dataCentres);
+    }
+}
+
+TEST_CASE("the table of regions is parsed as far as it is valid, and unknown regions in lists are found")
+{
+    util::Faults faults;
+    const auto table = parseRegionTable(R"({"dc1":"north","dc2":7,"dc3":""})", "regions", faults);
+    CHECK(table == RegionTable { { { "dc1" }, { "north" } } });
+    CHECK(parseRegionTable("", "regions", faults).empty());
+    CHECK(parseRegionTable("null", "regions", faults).empty());
+    CHECK(faults.empty());
+    CHECK(parseRegionTable("north", "regions", faults).empty());
+    CHECK(faults.size() == 1);
+    auto declaration = testDeclaration({});
+    declaration.index.routes[0].allowedRegions = RegionList { { "north" }, { "east" } };
+    declaration.organisations[0].allowedRegions = RegionList { { "west" } };
+    const auto configuration = Configuration::fromDeclaration(
+        2, std::make_shared<const std::string>("{}"), std::move(declaration));
+    REQUIRE(configuration);
+    CHECK(unknownRegions(**configuration, table) == std::set<RegionName> { { "east" }, { "west" } });
+}
+
 } // namespace tarragonhaven::testing
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -49,6 +49,7 @@
     raw.evacuationMs = "soon";
     raw.coldOvershoot = "0.5";
     raw.coldSlack = "-1";
+    raw.regions = "north";
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -57,5 +58,5 @@
     CHECK(faultPaths
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
             "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms", "cold_overshoot",
-            "cold_slack" });
+            "cold_slack", "regions" });
 }
