--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -80,6 +80,7 @@
         options.serveWhileStopping = true;
         options.prioritizeInternalRequests = true;
         options.ejection = ejectionOptions();
+        options.regions = settings.regions;
         return options;
     }
 
@@ -132,6 +133,7 @@
 {
     GuardOptions options;
     options.headerNames = m_dependencies.headerNames;
+    options.coldPace = m_dependencies.settings.policy.coldPace;
     options.breaker.emplace();
     options.refusePredictedTimeouts = true;
     options.predictedTimeShare = predictedTimeShare;
@@ -182,8 +184,10 @@
 
 void SidecarTraffic::handleEvent(DiscoveryEvent event)
 {
-    if (auto* accepted = std::get_if<DeclarationsAccepted>(&event))
+    if (auto* accepted = std::get_if<DeclarationsAccepted>(&event)) {
         m_configuration = std::move(accepted->configuration);
+        logUnknownRegions();
+    }
     if (auto* changed = std::get_if<DirectoryChanged>(&event)) {
         const auto before = std::exchange(m_directory, std::move(changed->directory));
         if (before)
@@ -193,9 +197,21 @@
     applyConfigurationAndDirectory();
 }
 
+void SidecarTraffic::logUnknownRegions()
+{
+    auto names = nlohmann::ordered_json::array();
+    for (const auto& region : unknownRegions(*m_configuration, m_dependencies.settings.regions))
+        names.push_back(region.text);
+    if (!names.empty())
+        m_dependencies.log.write(LogLevel::Warning, "configuration",
+            { { "event", "unknown-regions" }, { "revision", m_configuration->revision() },
+                { "regions", names }, { "dataCentres", m_dependencies.settings.regions.size() } });
+}
+
 void SidecarTraffic::applyConfigurationAndDirectory()
 {
     if (m_directory) {
+        m_guard.setColdStart(coldStartPolicies());
         m_guard.apply(*m_directory);
         querySuspects();
     }
@@ -330,6 +346,27 @@
     }
 }
 
+std::map<ServiceName, ColdStartPolicy> SidecarTraffic::coldStartPolicies() const
+{
+    std::map<ServiceName, ColdStartPolicy> policies;
+    if (m_configuration) {
+        for (const auto& service : m_configuration->index().services)
+            policies.emplace(service.name, service.coldStart);
+    }
+    return policies;
+}
+
+void SidecarTraffic::logColdChanges()
+{
+    for (const auto& [target, change, pace] : m_guard.takeColdChanges())
+        m_dependencies.log.write(LogLevel::Warning, "cold",
+            { { "target", target.text }, { "event", change.cold ? "cold" : "warm" },
+                { "source", toString(change.source) },
+                { "remainingMs",
+                    std::chrono::duration_cast<std::chrono::milliseconds>(change.remaining).count() },
+                { "requestsPerSecond", pace } });
+}
+
 void SidecarTraffic::logAttempt(const AttemptRecord& attempt)
 {
     const auto level = attempt.status > 0 ? LogLevel::Info : LogLevel::Warning;
@@ -347,6 +384,8 @@
         fields["firstByteMs"] = milliseconds(*attempt.timeToFirstByte);
     if (attempt.knownLimit)
         fields["knownLimit"] = *attempt.knownLimit;
+    if (attempt.coldPace)
+        fields["coldPace"] = *attempt.coldPace;
     if (attempt.notice.requestsPerSecond)
         fields["namedLimit"] = *attempt.notice.requestsPerSecond;
     if (attempt.notice.malformedLimit)
@@ -374,6 +413,7 @@
     sendEvacuations();
     sendSuspects();
     logBreakerChanges();
+    logColdChanges();
     if (++m_ticks % ticksPerEvaluation == 0) {
         m_admission.tick();
         m_entry.tick();
