Join small body chunks and count the memory of bodies that are kept

BodyReader reads whatever has arrived of a body as one part, BodyBuffer joins small parts, and BodyBudget counts what a process keeps of bodies; beyond it bodies are passed on as they arrive instead of being kept for a retry.

--- a/tarragonhaven/caller_session.cc
+++ b/tarragonhaven/caller_session.cc
@@ -4,6 +4,8 @@
 
 #include "tarragonhaven/caller_session.h"
 
+#include "tarragonhaven/body_buffer.h"
+#include "tarragonhaven/body_reader.h"
 #include "tarragonhaven/close_watch.h"
 #include "tarragonhaven/entry_exchange.h"
 #include "tarragonhaven/http_fields.h"
@@ -16,11 +18,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cmath>
-#include <deque>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
-#include <vector>
 
 namespace tarragonhaven {
 
@@ -102,7 +102,7 @@
         exchange.reset();
         serializer.reset();
         response.reset();
-        bodyBuffer = {};
+        bodyReader.release();
         if (closeAnnounced)
             return endSession(self);
         parser.emplace();
@@ -175,23 +175,23 @@
         idempotencyKeyRequired = accepted->route.idempotencyKeyRule == IdempotencyKeyRule::Required;
         acceptedRequest = std::move(*accepted);
         if (bodyRemaining && !expectsContinue)
-            return prefetch(self, 0);
+            return prefetch(self);
         beginExchange(self);
     }
 
     // Reads a small body completely before the request queues anywhere, since the session can only detect
     // that the caller disconnects when the whole request has been read.
-    void prefetch(const Self& self, std::size_t bytes)
+    void prefetch(const Self& self)
     {
-        readChunk(self, [this, self, bytes](bool connected, BodyChunk chunk) {
+        readChunk(self, [this, self](bool connected, BodyChunk chunk) {
             if (!connected)
                 return;
-            const auto total = bytes + chunk.data.size();
-            const bool last = chunk.last;
-            prefetchedBody.push_back(std::move(chunk));
-            if (last || total > prefetchLimitBytes)
+            prefetchedBody.append(std::move(chunk));
+            const bool mayReadMore = prefetchedBody.bodyBytes() <= prefetchLimitBytes
+                && entry.bodyBudget().allows(bodyChunkBytes);
+            if (prefetchedBody.hasEnd() || !mayReadMore)
                 return beginExchange(self);
-            prefetch(self, total);
+            prefetch(self);
         });
     }
 
@@ -201,8 +201,8 @@
         auto& context = acceptedRequest->context;
         // The body of a request that waits for "100 Continue" is not known yet.
         if (!bodyRemaining || !expectsContinue)
-            context.fingerprint = fingerprintOf(
-                context.service, context.organisation, acceptedRequest->head, prefetchedText());
+            context.fingerprint = fingerprintOf(context.service, context.organisation, acceptedRequest->head,
+                prefetchedBody.prefix(fingerprintBodyBytes + 1));
         if (context.deadlineCoversBody)
             startDeadlineTimer(self, context.deadline);
         exchange = std::make_shared<EntryExchange>(entry, std::move(*acceptedRequest));
@@ -212,14 +212,6 @@
         std::make_shared<Relay<CallerSession, EntryExchange>>(self, exchange, hasBody)->start();
     }
 
-    [[nodiscard]] std::string prefetchedText() const
-    {
-        std::string text;
-        for (const auto& chunk : prefetchedBody)
-            text += chunk.data;
-        return text;
-    }
-
     void startDeadlineTimer(const Self& self, util::Time deadline)
     {
         const auto remaining = std::max<util::Duration>(deadline - util::BootClock::now(), {});
@@ -263,8 +255,7 @@
     {
         if (prefetchedBody.empty())
             return readChunk(self, std::move(handler));
-        auto chunk = std::move(prefetchedBody.front());
-        prefetchedBody.pop_front();
+        auto chunk = prefetchedBody.takeFront();
         asio::post(stream.get_executor(), [handler = std::move(handler), chunk = std::move(chunk)]() mutable {
             handler(true, std::move(chunk));
         });
@@ -333,22 +324,15 @@
     void readChunk(const Self& self, std::function<void(bool, BodyChunk)> handler)
     {
         stream.expires_after(bodyIdleTimeout);
-        bodyBuffer.resize(bodyChunkBytes);
-        auto& body = parser->get().body();
-        body.data = bodyBuffer.data();
-        body.size = bodyBuffer.size();
-        http::async_read_some(stream, buffer, *parser,
-            [this, self, handler = std::move(handler)](error_code error, std::size_t) {
-                if (error == http::error::need_buffer)
-                    error = {};
+        bodyReader.read(
+            *parser, [this, self, handler = std::move(handler)](error_code error, BodyChunk chunk) {
                 if (error || closed) {
                     handler(false, {});
                     return endSession(self);
                 }
-                BodyChunk chunk;
-                chunk.data.assign(bodyBuffer.data(), bodyBuffer.size() - parser->get().body().size);
-                chunk.last = parser->is_done();
                 bodyRemaining = !chunk.last;
+                if (!bodyRemaining)
+                    bodyReader.release();
                 if (!bodyRemaining && exchange)
                     watchForDisconnect(self);
                 handler(true, std::move(chunk));
@@ -498,17 +482,16 @@
     asio::steady_timer deadlineTimer;
     EndHandler onEnd;
     beast::flat_buffer buffer;
+    BodyReader bodyReader { stream, buffer };
     std::optional<Parser> parser;
     std::optional<http::response<http::buffer_body>> response;
     std::optional<http::response_serializer<http::buffer_body>> serializer;
     std::optional<http::response<http::string_body>> refusalResponse;
     std::shared_ptr<EntryExchange> exchange;
-    // Allocated only while a body is read, so that idle connections use little memory.
-    std::vector<char> bodyBuffer;
     BodyChunk outgoingChunk;
     // An accepted request until its exchange begins, and the part of its body that was read before then.
     std::optional<AcceptedRequest> acceptedRequest;
-    std::deque<BodyChunk> prefetchedBody;
+    BodyBuffer prefetchedBody { entry.bodyBudget() };
     std::string requestId;
     std::string keyDigest;
     OrganisationName organisation;
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/admission.h"
+#include "tarragonhaven/body_budget.h"
 #include "tarragonhaven/configuration.h"
 #include "tarragonhaven/directory.h"
 #include "tarragonhaven/entry_options.h"
@@ -107,6 +108,9 @@
     [[nodiscard]] util::Time directorySince() const { return m_directorySince; }
     [[nodiscard]] const std::map<ServiceName, ServiceHealth>& services() const { return m_services; }
     [[nodiscard]] bool stopping() const { return m_stopping; }
+    // Counts the bodies that are kept for all callers.
+    [[nodiscard]] BodyBudget& bodyBudget() { return m_bodyBudget; }
+    [[nodiscard]] const BodyBudget& bodyBudget() const { return m_bodyBudget; }
     [[nodiscard]] RetryLimiter& retries()
     {
         return m_dependencies.retries ? *m_dependencies.retries : m_localRetries;
@@ -118,6 +122,10 @@
     void logCallerDisconnected(const std::string& requestId);
 
 private:
+    // The memory for bodies that are kept: request bodies until they are sent, or may be sent again, and
+    // responses until they are complete. Beyond it bodies are passed on as they arrive.
+    static constexpr std::size_t maximumKeptBodyBytes = 24 * 1024 * 1024;
+
     struct OutstandingRequest {
         ServiceName service;
         TargetName target;
@@ -141,6 +149,7 @@
     DirectoryPointer m_directory;
     util::Time m_declarationsSince {};
     util::Time m_directorySince {};
+    BodyBudget m_bodyBudget { maximumKeptBodyBytes };
     RouteSplitter m_splitter;
     std::map<ServiceName, ServiceHealth> m_services;
     // Targets passed to avoid(), with the time at which they may be chosen again.
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -6,6 +6,7 @@
 
 #include "util/check.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -47,6 +48,8 @@
     : m_entry(entry)
     , m_request(std::move(request))
     , m_planner(m_entry.dependencies().options, m_request.context.idempotent)
+    , m_replayBody(m_entry.bodyBudget())
+    , m_bufferedBody(m_entry.bodyBudget())
     , m_hedgeTimer(m_entry.dependencies().io)
     , m_started(util::BootClock::now())
 {
@@ -178,10 +181,7 @@
 
 // Returns whether the body can be sent again: either none of it was read from the caller, or all of it is in
 // memory.
-bool EntryExchange::canReplayBody() const
-{
-    return !m_sendStarted || (!m_replayBody.empty() && m_replayBody.back().last);
-}
+bool EntryExchange::canReplayBody() const { return !m_sendStarted || m_replayBody.hasEnd(); }
 
 std::string_view EntryExchange::retryDenialReason(const Refusal& refusal)
 {
@@ -274,8 +274,10 @@
         return;
     m_sendStarted = true;
     m_sentBodyBytes += chunk.data.size();
-    if (m_sentBodyBytes <= replayBodyLimitBytes)
-        m_replayBody.push_back(chunk);
+    const bool keptSoFar = m_replayBody.bodyBytes() + chunk.data.size() == m_sentBodyBytes;
+    if (keptSoFar && m_sentBodyBytes <= replayBodyLimitBytes
+        && m_entry.bodyBudget().allows(chunk.data.size()))
+        m_replayBody.append(chunk);
     else
         m_replayBody.clear();
     withAttempt([&](auto& attempt) { attempt.writeBody(std::move(chunk), std::move(handler)); });
@@ -296,11 +298,10 @@
 bool EntryExchange::mayHedge() const
 {
     const auto& context = m_request.context;
-    const bool bodyKept = !m_replayBody.empty() && m_replayBody.back().last;
     // The attempt in progress and the hedge may both run the request.
     const bool mayRunTwice = m_possibleRuns + 2 <= m_request.route.attempts;
-    return context.idempotent && bodyKept && mayRunTwice && m_awaitsHead && !m_hedgeStarted && !m_cancelled
-        && !containment().isSuspect(context.fingerprint)
+    return context.idempotent && m_replayBody.hasEnd() && mayRunTwice && m_awaitsHead && !m_hedgeStarted
+        && !m_cancelled && !containment().isSuspect(context.fingerprint)
         && util::BootClock::now() + minimumAttemptTime < context.deadline;
 }
 
@@ -353,9 +354,9 @@
 void EntryExchange::sendHedge(std::size_t next, const OutcomeHandler<ResponseHead>& handler)
 {
     withExchange(m_hedge->exchange, [&](auto& attempt) {
-        if (next < m_replayBody.size())
-            return attempt.writeBody(
-                m_replayBody[next], [self = shared_from_this(), next, handler](const Outcome<void>& written) {
+        if (next < m_replayBody.pieceCount())
+            return attempt.writeBody(m_replayBody.piece(next),
+                [self = shared_from_this(), next, handler](const Outcome<void>& written) {
                     if (!written)
                         return self->onHedgeFailed(written.error());
                     self->sendHedge(next + 1, handler);
@@ -438,26 +439,30 @@
     if (!head)
         return onAttemptFailed(head.error(), handler);
     const auto limit = m_entry.dependencies().options.bufferedResponseBytes;
-    const bool fits = head->contentLength <= static_cast<std::int64_t>(limit);
+    const bool fits = head->contentLength <= static_cast<std::int64_t>(limit)
+        && m_entry.bodyBudget().allows(
+            static_cast<std::size_t>(std::max<std::int64_t>(0, head->contentLength)));
     if (limit > 0 && head->hasBody && fits)
-        return bufferResponse(*head, 0, handler);
+        return bufferResponse(*head, handler);
     onResponse(*head, handler);
 }
 
-// Reads the response into memory up to its end, or until it exceeds the limit of bytes to buffer.
-void EntryExchange::bufferResponse(
-    const ResponseHead& head, std::size_t bytes, const OutcomeHandler<ResponseHead>& handler)
+// Reads the response into memory up to its end, or until it exceeds the limit of bytes to buffer, for this
+// request or for all of them.
+void EntryExchange::bufferResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler)
 {
     withAttempt([&](auto& attempt) {
-        attempt.readBody([self = shared_from_this(), head, bytes, handler](Outcome<BodyChunk> chunk) {
+        attempt.readBody([self = shared_from_this(), head, handler](Outcome<BodyChunk> chunk) {
             if (!chunk)
                 return self->onAttemptFailed(chunk.error(), handler);
-            const auto total = bytes + chunk->data.size();
-            const bool last = chunk->last;
-            self->m_bufferedBody.push_back(std::move(*chunk));
-            if (last || total > self->m_entry.dependencies().options.bufferedResponseBytes)
+            auto& body = self->m_bufferedBody;
+            body.append(std::move(*chunk));
+            const bool mayReadMore
+                = body.bodyBytes() <= self->m_entry.dependencies().options.bufferedResponseBytes
+                && self->m_entry.bodyBudget().allows(bodyChunkBytes);
+            if (body.hasEnd() || !mayReadMore)
                 return self->onResponse(head, handler);
-            self->bufferResponse(head, total, handler);
+            self->bufferResponse(head, handler);
         });
     });
 }
@@ -467,14 +472,14 @@
     const bool failure = head.status >= firstServerErrorStatus && m_request.context.idempotent;
     if (failure) {
         const auto refusal = failureOf(head);
-        const bool complete = !head.hasBody || (!m_bufferedBody.empty() && m_bufferedBody.back().last);
+        const bool complete = !head.hasBody || m_bufferedBody.hasEnd();
         if (recordFailedAttempt(refusal)) {
             if (complete)
-                m_fallbackResponse = BufferedResponse { head, std::exchange(m_bufferedBody, {}) };
+                keepAsFallback(head);
             return retry(handler);
         }
     }
-    m_responseReceived = !head.hasBody || (!m_bufferedBody.empty() && m_bufferedBody.back().last);
+    m_responseReceived = !head.hasBody || m_bufferedBody.hasEnd();
     settleAdmission(IdempotencyOutcome::Completed, head.status);
     const auto& context = m_request.context;
     const auto requestClass = context.rank == internalRequestRank ? RequestClass::FromTarget
@@ -486,6 +491,12 @@
     handler(head);
 }
 
+void EntryExchange::keepAsFallback(const ResponseHead& head)
+{
+    m_fallbackResponse.emplace(head, m_entry.bodyBudget());
+    m_fallbackResponse->body.replaceWith(m_bufferedBody);
+}
+
 void EntryExchange::onAttemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler)
 {
     m_bufferedBody.clear();
@@ -507,11 +518,11 @@
 
 void EntryExchange::replayBody(std::size_t next, const OutcomeHandler<ResponseHead>& handler)
 {
-    if (next >= m_replayBody.size())
+    if (next >= m_replayBody.pieceCount())
         return readHead(handler);
     withAttempt([&](auto& attempt) {
-        attempt.writeBody(
-            m_replayBody[next], [self = shared_from_this(), next, handler](const Outcome<void>& written) {
+        attempt.writeBody(m_replayBody.piece(next),
+            [self = shared_from_this(), next, handler](const Outcome<void>& written) {
                 if (!written)
                     return self->readHead(handler);
                 self->replayBody(next + 1, handler);
@@ -523,7 +534,7 @@
 {
     if (!m_fallbackResponse)
         return handler(tl::unexpected(finalRefusal(refusal)));
-    m_bufferedBody = std::move(m_fallbackResponse->body);
+    m_bufferedBody.replaceWith(m_fallbackResponse->body);
     m_responseReceived = true;
     settleAdmission(IdempotencyOutcome::Completed, m_fallbackResponse->head.status);
     logResponse(m_fallbackResponse->head.status);
@@ -543,8 +554,7 @@
                 });
         });
     }
-    auto chunk = std::move(m_bufferedBody.front());
-    m_bufferedBody.pop_front();
+    auto chunk = m_bufferedBody.takeFront();
     boost::asio::post(m_entry.dependencies().io,
         [self = shared_from_this(), handler = std::move(handler), chunk = std::move(chunk)]() mutable {
             if (!self->m_cancelled)
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -1,18 +1,17 @@
 #pragma once
 
 #include "tarragonhaven/attempt_planner.h"
+#include "tarragonhaven/body_buffer.h"
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/exchange.h"
 #include "tarragonhaven/guard_exchange.h"
 #include "tarragonhaven/peer_exchange.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
 #include <variant>
-#include <vector>
 
 namespace tarragonhaven {
 
@@ -47,8 +46,13 @@
         = std::variant<std::monostate, std::shared_ptr<GuardExchange>, std::shared_ptr<PeerExchange>>;
     // A response that was read completely.
     struct BufferedResponse {
+        BufferedResponse(ResponseHead responseHead, BodyBudget& budget)
+            : head(std::move(responseHead))
+            , body(budget)
+        {
+        }
         ResponseHead head;
-        std::deque<BodyChunk> body;
+        BodyBuffer body;
     };
 
     // A second attempt while the first one waits for its response.
@@ -83,8 +87,9 @@
     void logResponse(int status);
     void onOpened(Outcome<void> opened, const OutcomeHandler<void>& handler);
     void onHeadRead(Outcome<ResponseHead> head, const OutcomeHandler<ResponseHead>& handler);
-    void bufferResponse(
-        const ResponseHead& head, std::size_t bytes, const OutcomeHandler<ResponseHead>& handler);
+    void bufferResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler);
+    // Keeps the buffered response, to pass it on if no later attempt succeeds.
+    void keepAsFallback(const ResponseHead& head);
     void onResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler);
     void onAttemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     void retry(const OutcomeHandler<ResponseHead>& handler);
@@ -119,10 +124,11 @@
     bool m_admitted = false;
     bool m_settled = false;
     bool m_sendStarted = false;
-    std::vector<BodyChunk> m_replayBody;
+    // What was sent of the request body, while all of it is kept to be sent again.
+    BodyBuffer m_replayBody;
     std::size_t m_sentBodyBytes = 0;
     // The part of the response body that was read before the head was passed on.
-    std::deque<BodyChunk> m_bufferedBody;
+    BodyBuffer m_bufferedBody;
     // A server error from a target, passed on if no later attempt succeeds.
     std::optional<BufferedResponse> m_fallbackResponse;
     // The refusal of the latest attempt that may have run, if any.
--- a/tarragonhaven/target_connection.cc
+++ b/tarragonhaven/target_connection.cc
@@ -5,6 +5,7 @@
 
 #include "tarragonhaven/target_connection.h"
 
+#include "tarragonhaven/body_reader.h"
 #include "tarragonhaven/http_fields.h"
 #include "tarragonhaven/message_parser.h"
 #include "tarragonhaven/socket_options.h"
@@ -19,7 +20,6 @@
 #include <boost/beast/http.hpp>
 #include <limits>
 #include <optional>
-#include <vector>
 
 namespace tarragonhaven {
 
@@ -153,15 +153,10 @@
         if (m_deadlineCoversBody && deadlinePassed())
             return failLater<BodyChunk>("no end of the response before the deadline", std::move(handler));
         m_stream.expires_after(bodyTimeout());
-        m_bodyBuffer.resize(bodyChunkBytes);
-        auto& body = m_parser->get().body();
-        body.data = m_bodyBuffer.data();
-        body.size = m_bodyBuffer.size();
-        http::async_read_some(m_stream, m_buffer, *m_parser,
-            [self = shared_from_this(), handler = std::move(handler)](error_code error, std::size_t) {
-                if (self->m_closed)
-                    return;
-                self->onBodyRead(error, handler);
+        m_bodyReader.read(*m_parser,
+            [self = shared_from_this(), handler = std::move(handler)](error_code error, BodyChunk chunk) {
+                if (!self->m_closed)
+                    self->onBodyRead(error, std::move(chunk), handler);
             });
     }
 
@@ -351,19 +346,14 @@
         return head;
     }
 
-    void onBodyRead(error_code error, const OutcomeHandler<BodyChunk>& handler)
+    void onBodyRead(error_code error, BodyChunk chunk, const OutcomeHandler<BodyChunk>& handler)
     {
-        if (error == http::error::need_buffer)
-            error = {};
         if (error == beast::error::timeout)
             return handler(tl::unexpected(makeRefusal(RefusalReason::TargetTimeout, RunState::Unknown,
                 "timed out while reading the response body")));
         if (error)
             return handler(tl::unexpected(makeRefusal(RefusalReason::TargetFailed, RunState::Unknown,
                 "response body was cut off: " + error.message())));
-        BodyChunk chunk;
-        chunk.data.assign(m_bodyBuffer.data(), m_bodyBuffer.size() - m_parser->get().body().size);
-        chunk.last = m_parser->is_done();
         if (chunk.last)
             finishResponse();
         handler(std::move(chunk));
@@ -372,7 +362,7 @@
     void finishResponse()
     {
         m_responseComplete = true;
-        m_bodyBuffer = {};
+        m_bodyReader.release();
         m_idleSince = util::BootClock::now();
         m_stream.expires_never();
     }
@@ -380,6 +370,7 @@
     beast::tcp_stream m_stream;
     TargetConnectionOptions m_options;
     beast::flat_buffer m_buffer { bufferLimitBytes };
+    BodyReader m_bodyReader { m_stream, m_buffer };
     std::string m_requestId;
     int m_mismatchedResponses = 0;
     int m_interimResponses = 0;
@@ -391,8 +382,6 @@
     std::optional<http::request<http::buffer_body>> m_request;
     std::optional<http::request_serializer<http::buffer_body>> m_serializer;
     std::optional<Parser> m_parser;
-    // Allocated only while a body is read, so that an idle connection uses little memory.
-    std::vector<char> m_bodyBuffer;
     BodyChunk m_chunk;
     util::Time m_deadline {};
     util::Time m_idleSince {};
