Start pipelined idempotent requests at once

What callers saw: a caller that sends further requests before the first is answered waited for each in turn, so that one slow target delayed all of them.

Cause: CallerSession read the next request only when the response to the one before it had been written.

Change: the session is split into a RequestReader, one CallerRequest for each request, a ResponseWriter, and a RequestPipeline that decides what may start, be written and be read. Requests that may run twice start when they have been read completely; their responses are kept until their turn. Everything else starts at its turn as before.

--- a/tarragonhaven/caller_sessions.cc
+++ b/tarragonhaven/caller_sessions.cc
@@ -4,9 +4,12 @@
 
 namespace tarragonhaven {
 
-CallerSessions::CallerSessions(boost::asio::io_context& io, Entry& entry, std::uint32_t maximumConnections)
+CallerSessions::CallerSessions(
+    boost::asio::io_context& io, Entry& entry, std::uint32_t maximumConnections, const PipelineLimits& limits)
     : m_entry(entry)
     , m_maximumConnections(maximumConnections)
+    , m_limits(limits)
+    , m_aheadBudget(limits)
     , m_listener(io, [this](auto socket) { accept(std::move(socket)); })
 {
 }
@@ -22,8 +25,8 @@
     if (m_sessions.size() >= m_maximumConnections)
         return;
     auto& metrics = m_entry.dependencies().metrics;
-    auto session = std::make_shared<CallerSession>(
-        m_entry, std::move(socket), [this, &metrics](const std::shared_ptr<CallerSession>& ended) {
+    auto session = std::make_shared<CallerSession>(m_entry, std::move(socket), m_limits, m_aheadBudget,
+        [this, &metrics](const std::shared_ptr<CallerSession>& ended) {
             m_sessions.erase(ended);
             metrics.recordConnectionChange(-1);
         });
@@ -34,7 +37,8 @@
 
 void CallerSessions::closeAfterResponses()
 {
-    for (const auto& session : m_sessions)
+    const auto sessions = m_sessions;
+    for (const auto& session : sessions)
         session->stop(false);
 }
 
@@ -51,7 +55,7 @@
 {
     const auto sessions = m_sessions;
     for (const auto& session : sessions)
-        session->abandonRequest();
+        session->abandonRequests();
 }
 
 void CallerSessions::closeAll()
--- a/tarragonhaven/caller_sessions.h
+++ b/tarragonhaven/caller_sessions.h
@@ -1,8 +1,9 @@
 #pragma once
 
-#include "tarragonhaven/caller_session.h"
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/listener.h"
+#include "tarragonhaven/pipelining/ahead_budget.h"
+#include "tarragonhaven/pipelining/caller_session.h"
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -15,7 +16,8 @@
 // are closed at once. May be used on the traffic thread only.
 class CallerSessions {
 public:
-    CallerSessions(boost::asio::io_context& io, Entry& entry, std::uint32_t maximumConnections);
+    CallerSessions(boost::asio::io_context& io, Entry& entry, std::uint32_t maximumConnections,
+        const PipelineLimits& limits = {});
 
     // Opens the listening socket. Returns an empty text, or an error message on failure.
     std::string open(const Endpoint& endpoint);
@@ -39,6 +41,8 @@
 
     Entry& m_entry;
     std::uint32_t m_maximumConnections;
+    PipelineLimits m_limits;
+    AheadBudget m_aheadBudget;
     Listener m_listener;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
 };
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -139,6 +139,12 @@
     return tl::unexpected(refusal(pathKnown ? RefusalReason::MethodNotRouted : RefusalReason::RouteUnknown));
 }
 
+const Route* Entry::routeOf(const RequestHead& head) const
+{
+    const auto route = m_configuration ? findRoute(head) : nullptr;
+    return route ? *route : nullptr;
+}
+
 tl::expected<const Organisation*, Refusal> Entry::findOrganisation(
     const Route& route, const std::optional<PresentedKey>& key, std::string& digest) const
 {
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -79,6 +79,8 @@
     // Checks the route, key and organisation of a head as sent by the caller. The head in the result no
     // longer contains the key.
     tl::expected<AcceptedRequest, Refusal> accept(RequestHead head);
+    // Returns the route of a head, or null if there is none. Valid until the configuration changes.
+    [[nodiscard]] const Route* routeOf(const RequestHead& head) const;
     // Returns whether a key that was accepted earlier would still be accepted.
     [[nodiscard]] bool isStillAccepted(const std::string& keyDigest) const;
     [[nodiscard]] static std::string digestOf(const PresentedKey& key);
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -44,12 +44,14 @@
 
 } // namespace
 
-EntryExchange::EntryExchange(Entry& entry, AcceptedRequest request)
+EntryExchange::EntryExchange(Entry& entry, AcceptedRequest request, std::shared_ptr<BodyBudget> budget)
     : m_entry(entry)
+    , m_budget(budget ? std::move(budget)
+                      : std::shared_ptr<BodyBudget>(std::shared_ptr<void>(), &entry.bodyBudget()))
     , m_request(std::move(request))
     , m_planner(m_entry.dependencies().options, m_request.context.idempotent)
-    , m_replayBody(m_entry.bodyBudget())
-    , m_bufferedBody(m_entry.bodyBudget())
+    , m_replayBody(*m_budget)
+    , m_bufferedBody(*m_budget)
     , m_hedgeTimer(m_entry.dependencies().io)
     , m_started(util::BootClock::now())
 {
@@ -275,8 +277,7 @@
     m_sendStarted = true;
     m_sentBodyBytes += chunk.data.size();
     const bool keptSoFar = m_replayBody.bodyBytes() + chunk.data.size() == m_sentBodyBytes;
-    if (keptSoFar && m_sentBodyBytes <= replayBodyLimitBytes
-        && m_entry.bodyBudget().allows(chunk.data.size()))
+    if (keptSoFar && m_sentBodyBytes <= replayBodyLimitBytes && m_budget->allows(chunk.data.size()))
         m_replayBody.append(chunk);
     else
         m_replayBody.clear();
@@ -440,8 +441,7 @@
         return onAttemptFailed(head.error(), handler);
     const auto limit = m_entry.dependencies().options.bufferedResponseBytes;
     const bool fits = head->contentLength <= static_cast<std::int64_t>(limit)
-        && m_entry.bodyBudget().allows(
-            static_cast<std::size_t>(std::max<std::int64_t>(0, head->contentLength)));
+        && m_budget->allows(static_cast<std::size_t>(std::max<std::int64_t>(0, head->contentLength)));
     if (limit > 0 && head->hasBody && fits)
         return bufferResponse(*head, handler);
     onResponse(*head, handler);
@@ -459,7 +459,7 @@
             body.append(std::move(*chunk));
             const bool mayReadMore
                 = body.bodyBytes() <= self->m_entry.dependencies().options.bufferedResponseBytes
-                && self->m_entry.bodyBudget().allows(bodyChunkBytes);
+                && self->m_budget->allows(bodyChunkBytes);
             if (body.hasEnd() || !mayReadMore)
                 return self->onResponse(head, handler);
             self->bufferResponse(head, handler);
@@ -493,7 +493,7 @@
 
 void EntryExchange::keepAsFallback(const ResponseHead& head)
 {
-    m_fallbackResponse.emplace(head, m_entry.bodyBudget());
+    m_fallbackResponse.emplace(head, *m_budget);
     m_fallbackResponse->body.replaceWith(m_bufferedBody);
 }
 
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -25,7 +25,8 @@
 // targets may run a request. If all attempts fail, the handlers receive a Refusal.
 class EntryExchange : public std::enable_shared_from_this<EntryExchange> {
 public:
-    EntryExchange(Entry& entry, AcceptedRequest request);
+    // Counts the bodies that it keeps in `budget`, or in that of the entry if it is null.
+    EntryExchange(Entry& entry, AcceptedRequest request, std::shared_ptr<BodyBudget> budget = nullptr);
     ~EntryExchange();
     EntryExchange(const EntryExchange&) = delete;
     EntryExchange& operator=(const EntryExchange&) = delete;
@@ -114,6 +115,7 @@
     void logFailedAttempt(const TargetName& target, const Refusal& refusal, std::string_view again);
 
     Entry& m_entry;
+    std::shared_ptr<BodyBudget> m_budget;
     AcceptedRequest m_request;
     Attempt m_attempt;
     TargetName m_target;
--- /dev/null
+++ b/tarragonhaven/pipelining/ahead_budget.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "tarragonhaven/names.h"
+#include "tarragonhaven/pipelining/pipeline_limits.h"
+
+#include <cstddef>
+#include <map>
+
+namespace tarragonhaven {
+
+// Counts the requests of a node that were started ahead of their turn, in all and by organisation, so that
+// callers that send many requests ahead leave room for the others. A request that is denied starts at its
+// turn. Not thread-safe.
+class AheadBudget {
+public:
+    explicit AheadBudget(const PipelineLimits& limits)
+        : m_limits(limits)
+    {
+    }
+    AheadBudget(const AheadBudget&) = delete;
+    AheadBudget& operator=(const AheadBudget&) = delete;
+
+    // Counts one more request, unless a limit is reached. Returns whether it was counted.
+    [[nodiscard]] bool tryAcquire(const OrganisationName& organisation)
+    {
+        const auto found = m_byOrganisation.find(organisation);
+        const auto used = found == m_byOrganisation.end() ? 0 : found->second;
+        if (m_inUse >= m_limits.aheadRequests || used >= m_limits.aheadRequestsPerOrganisation)
+            return false;
+        ++m_byOrganisation[organisation];
+        ++m_inUse;
+        return true;
+    }
+    // Ends the count of a request for which tryAcquire() returned true.
+    void release(const OrganisationName& organisation)
+    {
+        const auto found = m_byOrganisation.find(organisation);
+        if (found == m_byOrganisation.end())
+            return;
+        --m_inUse;
+        if (--found->second == 0)
+            m_byOrganisation.erase(found);
+    }
+
+    [[nodiscard]] std::size_t inUse() const { return m_inUse; }
+
+private:
+    PipelineLimits m_limits;
+    std::size_t m_inUse = 0;
+    std::map<OrganisationName, std::size_t> m_byOrganisation;
+};
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/pipelining/caller_session.cc
@@ -0,0 +1,211 @@
+#include "tarragonhaven/pipelining/caller_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace tarragonhaven {
+
+namespace {
+
+    using boost::system::error_code;
+    using tcp = boost::asio::ip::tcp;
+
+    // The memory for bodies that is left to requests at the front of their connections: nothing is read or
+    // held ahead while less than half of what Entry allows is free.
+    constexpr std::size_t reservedForFrontBytes = 12 * 1024 * 1024;
+    // What a request that was read ahead takes beside its head.
+    constexpr std::size_t requestBytes = sizeof(CallerRequest) + 2048;
+
+    std::size_t memoryOf(const RequestHead& head)
+    {
+        std::size_t bytes = requestBytes + head.method.size() + head.target.size() + head.host.size();
+        for (const auto& field : head.fields)
+            bytes += sizeof(HeaderField) + field.name.size() + field.value.size();
+        return bytes;
+    }
+
+} // namespace
+
+CallerSession::CallerSession(Entry& entry, tcp::socket socket, const PipelineLimits& limits,
+    AheadBudget& aheadBudget, EndHandler onEnd)
+    : m_connection(std::make_shared<CallerConnection>(entry, std::move(socket), limits.heldBytes))
+    , m_aheadBudget(aheadBudget)
+    , m_onEnd(std::move(onEnd))
+    , m_pipeline(limits.requests)
+{
+}
+
+CallerSession::~CallerSession() = default;
+
+void CallerSession::start()
+{
+    error_code ignored;
+    m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    m_reader = std::make_shared<RequestReader>(m_connection, weak_from_this());
+    m_writer = std::make_shared<ResponseWriter>(m_connection);
+    proceed();
+}
+
+void CallerSession::stop(bool closeIfIdle)
+{
+    m_pipeline.stop();
+    if (closeIfIdle && !busy())
+        return end(CloseReason::Stopped);
+    proceed();
+}
+
+void CallerSession::abandonRequests()
+{
+    const auto requests = m_requests;
+    for (const auto& request : requests)
+        request->abandon(RefusalReason::Stopping, "the node is stopping");
+}
+
+bool CallerSession::busy() const { return !m_requests.empty() || m_reader->headBegun(); }
+
+bool CallerSession::mayHoldMore() const
+{
+    return m_connection->budget->allows(bodyChunkBytes)
+        && m_connection->entry.bodyBudget().allows(reservedForFrontBytes);
+}
+
+bool CallerSession::mayReadHead() const
+{
+    return m_pipeline.mayRead() && (m_pipeline.empty() || mayHoldMore());
+}
+
+void CallerSession::proceed()
+{
+    if (std::exchange(m_proceeding, true)) {
+        m_proceedAgain = true;
+        return;
+    }
+    const auto self = shared_from_this();
+    do {
+        m_proceedAgain = false;
+        if (m_connection->closed)
+            break;
+        if (m_connection->entry.stopping())
+            m_pipeline.stop();
+        startRequests();
+        if (!m_requests.empty() && !m_writer->busy())
+            m_requests.front()->write();
+        // A request whose body has not been read completely is the last one.
+        const std::size_t beingRead = m_reader->bodyRemaining() ? 1 : 0;
+        m_reader->proceed(mayReadHead(), m_pipeline.size() > beingRead);
+    } while (m_proceedAgain);
+    m_proceeding = false;
+}
+
+void CallerSession::startRequests()
+{
+    while (const auto number = m_pipeline.takeStartable()) {
+        if (const auto request = find(*number))
+            request->begin();
+    }
+}
+
+RequestPipeline::Traits CallerSession::traitsOf(const ReceivedHead& received) const
+{
+    const bool complete = !received.head.hasBody;
+    if (received.refusal)
+        return { true, complete };
+    const auto* route = m_connection->entry.routeOf(received.head);
+    // Without a route it is refused.
+    if (!route)
+        return { true, complete };
+    // A key would remain in use if the request was given up.
+    return { route->idempotent && route->idempotencyKeyRule == IdempotencyKeyRule::None, complete };
+}
+
+void CallerSession::onHead(ReceivedHead received)
+{
+    const bool ahead = !m_pipeline.empty();
+    const auto number = m_pipeline.add();
+    if (!received.keepAlive)
+        m_pipeline.endReading();
+    const auto traits = ahead ? traitsOf(received) : RequestPipeline::Traits {};
+    const bool readsBody
+        = traits.idempotent && !traits.complete && !received.refusal && !received.expectsContinue;
+    const auto aheadBytes = ahead ? memoryOf(received.head) : 0;
+    const auto request
+        = std::make_shared<CallerRequest>(shared_from_this(), number, std::move(received), aheadBytes);
+    m_requests.push_back(request);
+    m_pipeline.classify(number, traits);
+    if (readsBody)
+        request->readAhead();
+    proceed();
+}
+
+void CallerSession::onReadingEnded(CloseReason reason)
+{
+    if (reason == CloseReason::Disconnected) {
+        for (const auto& request : m_requests)
+            request->logCallerDisconnected();
+    }
+    end(reason);
+}
+
+void CallerSession::closeAfter(RequestPipeline::Number number)
+{
+    const auto closing = find(number);
+    for (const auto dropped : m_pipeline.closeAfter(number)) {
+        const auto request = find(dropped);
+        m_connection->entry.dependencies().metrics.recordPipelinedDrop();
+        m_connection->entry.dependencies().log.write(LogLevel::Info, "pipeline",
+            { { "request", request->requestId() }, { "event", "dropped" },
+                { "behind", closing ? closing->requestId() : std::string() } });
+        request->cancel();
+    }
+    while (!m_requests.empty() && m_requests.back()->number() > number)
+        m_requests.pop_back();
+}
+
+void CallerSession::rejectUnread(RequestPipeline::Number number)
+{
+    if (m_pipeline.isFront(number))
+        return end(CloseReason::BodyRejected);
+    closeAfter(number - 1);
+    proceed();
+}
+
+void CallerSession::onAnswered(bool closeAnnounced)
+{
+    const auto answered = m_requests.front();
+    m_requests.pop_front();
+    m_pipeline.finishFront();
+    answered->end();
+    if (closeAnnounced || m_pipeline.done())
+        return end(CloseReason::Announced);
+    proceed();
+}
+
+std::shared_ptr<CallerRequest> CallerSession::find(RequestPipeline::Number number) const
+{
+    const auto found = std::find_if(m_requests.begin(), m_requests.end(),
+        [number](const auto& request) { return request->number() == number; });
+    return found == m_requests.end() ? nullptr : *found;
+}
+
+std::string CallerSession::frontRequestId() const
+{
+    return m_requests.empty() ? std::string() : m_requests.front()->requestId();
+}
+
+void CallerSession::end(CloseReason reason)
+{
+    if (std::exchange(m_connection->closed, true))
+        return;
+    const auto self = shared_from_this();
+    m_connection->entry.dependencies().log.write(
+        LogLevel::Debug, "caller-connection", { { "event", "closed" }, { "reason", toString(reason) } });
+    error_code ignored;
+    m_connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_connection->stream.close();
+    const auto requests = std::exchange(m_requests, {});
+    for (const auto& request : requests)
+        request->cancel();
+    m_onEnd(self);
+}
+
+} // namespace tarragonhaven
--- /dev/null
+++ b/tarragonhaven/pipelining/close_reason.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <string_view>
+
+namespace tarragonhaven {
+
+// Why the connection of a caller was closed.
+enum class CloseReason {
+    // The caller closed the connection, or its sending direction.
+    Disconnected,
+    // The last response announced the close.
+    Announced,
+    // The node ended the connection without an announcement, because it stops.
+    Stopped,
+    IdleTimeout,
+    HeadTimeout,
+    BodyTimeout,
+    // The body of a request is malformed or exceeds its limit.
+    BodyRejected,
+    // The caller sent too much of the body of a refused request.
+    DiscardLimit,
+    // The response was not accepted by the connection in time.
+    WriteFailed,
+    // A response that had begun could not be completed.
+    ResponseTruncated,
+};
+
+// Returns the name of a reason in log lines, in lower case with hyphens.
+std::string_view toString(CloseReason reason);
+
+} // namespace tarragonhaven
--- a/tarragonhaven/traffic_metrics.cc
+++ b/tarragonhaven/traffic_metrics.cc
@@ -101,6 +101,14 @@
         static_cast<double>(m_hedges));
     page.counter("cut_answers_total", "Responses that were cut off before their end.",
         static_cast<double>(m_truncatedResponses));
+    page.counter("pipelined_started_total", "Requests that were started ahead of their turn.",
+        static_cast<double>(m_aheadStarts));
+    page.counter("pipelined_denied_total",
+        "Requests that waited for their turn, because too many had been started ahead.",
+        static_cast<double>(m_aheadDenied));
+    page.counter("pipelined_dropped_total",
+        "Requests that were given up behind a response that closed the connection.",
+        static_cast<double>(m_pipelinedDrops));
     page.gauge("connections", "Open connections from callers.", static_cast<double>(m_connections));
     addEventCounters(page);
     addLatencies(page);
--- a/tarragonhaven/traffic_metrics.h
+++ b/tarragonhaven/traffic_metrics.h
@@ -63,6 +63,11 @@
     void recordRetry() { ++m_retries; }
     void recordHedge() { ++m_hedges; }
     void recordTruncatedResponse() { ++m_truncatedResponses; }
+    // Record pipelined requests: those that were started ahead of their turn, those that a limit left to wait
+    // for it, and those that were given up behind a response that closed the connection.
+    void recordAheadStart() { ++m_aheadStarts; }
+    void recordAheadDenied() { ++m_aheadDenied; }
+    void recordPipelinedDrop() { ++m_pipelinedDrops; }
     void recordConnectionChange(int change) { m_connections += change; }
 
     // Adds all metrics of the traffic thread, except those by organisation, to `page`.
@@ -98,6 +103,9 @@
     std::uint64_t m_retries = 0;
     std::uint64_t m_hedges = 0;
     std::uint64_t m_truncatedResponses = 0;
+    std::uint64_t m_aheadStarts = 0;
+    std::uint64_t m_aheadDenied = 0;
+    std::uint64_t m_pipelinedDrops = 0;
     long m_connections = 0;
 };
 
