Bound what pipelined requests hold, and close without a reset

What callers saw: nothing yet in operation. In tests, a caller that read nothing kept the slots of targets occupied with responses that waited for their turn, until their deadlines; other callers waited as long. And a caller that had sent further requests could lose the last response when the node closed the connection, since unread bytes reset it.

Change: a request starts ahead of its turn only if memory for its response can be reserved, for its connection and for all of them; the size is estimated from the earlier responses on the connection.

--- a/tarragonhaven/node_settings.h
+++ b/tarragonhaven/node_settings.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/names.h"
+#include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "util/time.h"
 
 #include <cstdint>
@@ -27,6 +28,7 @@
     // How long a planned stop waits for requests in progress.
     util::Duration drainTimeout {};
     std::uint32_t maximumConnections = 0;
+    PipelineLimits pipeline;
 
     friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
 };
--- a/tarragonhaven/node_settings_parse.cc
+++ b/tarragonhaven/node_settings_parse.cc
@@ -47,6 +47,7 @@
     if (raw.maximumConnections < 1 || raw.maximumConnections > connectionsLimit)
         faults.push_back({ "maximum_connections", "must be from 1 to 100000" });
     settings.maximumConnections = static_cast<std::uint32_t>(raw.maximumConnections);
+    settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     checkDistinctAddresses(settings, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
--- a/tarragonhaven/node_settings_parse.h
+++ b/tarragonhaven/node_settings_parse.h
@@ -23,6 +23,7 @@
     double logBytesPerSecond = 0;
     double drainSeconds = 0;
     int maximumConnections = 0;
+    RawPipelineLimits pipeline;
 };
 
 // Parses and checks all settings. On failure, returns every fault; its path is the name of the flag.
--- a/tarragonhaven/node_traffic.cc
+++ b/tarragonhaven/node_traffic.cc
@@ -34,7 +34,8 @@
     , m_entry({ m_thread.io(), m_guard, m_peers, m_control, m_dependencies.log, m_metrics,
           m_dependencies.settings.instance, m_dependencies.settings.dataCentre,
           m_dependencies.localHello.incarnation, EntryOptions {} })
-    , m_callers(m_thread.io(), m_entry, m_dependencies.settings.maximumConnections)
+    , m_callers(m_thread.io(), m_entry, m_dependencies.settings.maximumConnections,
+          m_dependencies.settings.pipeline)
     , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello)
     , m_status(m_thread.io(), [this] { return sources(); })
 {
--- a/tarragonhaven/pipelining/ahead_budget.h
+++ b/tarragonhaven/pipelining/ahead_budget.h
@@ -8,9 +8,9 @@
 
 namespace tarragonhaven {
 
-// Counts the requests of a node that were started ahead of their turn, in all and by organisation, so that
-// callers that send many requests ahead leave room for the others. A request that is denied starts at its
-// turn. Not thread-safe.
+// Counts the requests of a node that were started ahead of their turn, in all and by organisation, and the
+// memory that is reserved for their responses, so that callers that send many requests ahead leave room for
+// the others. A request that is denied starts at its turn. Not thread-safe.
 class AheadBudget {
 public:
     explicit AheadBudget(const PipelineLimits& limits)
@@ -21,23 +21,26 @@
     AheadBudget& operator=(const AheadBudget&) = delete;
 
     // Counts one more request, unless a limit is reached. Returns whether it was counted.
-    [[nodiscard]] bool tryAcquire(const OrganisationName& organisation)
+    [[nodiscard]] bool tryAcquire(const OrganisationName& organisation, std::size_t responseBytes)
     {
         const auto found = m_byOrganisation.find(organisation);
         const auto used = found == m_byOrganisation.end() ? 0 : found->second;
-        if (m_inUse >= m_limits.aheadRequests || used >= m_limits.aheadRequestsPerOrganisation)
+        if (m_inUse >= m_limits.aheadRequests || used >= m_limits.aheadRequestsPerOrganisation
+            || m_reservedBytes + responseBytes > m_limits.aheadBytes)
             return false;
         ++m_byOrganisation[organisation];
         ++m_inUse;
+        m_reservedBytes += responseBytes;
         return true;
     }
     // Ends the count of a request for which tryAcquire() returned true.
-    void release(const OrganisationName& organisation)
+    void release(const OrganisationName& organisation, std::size_t responseBytes)
     {
         const auto found = m_byOrganisation.find(organisation);
         if (found == m_byOrganisation.end())
             return;
         --m_inUse;
+        m_reservedBytes -= responseBytes;
         if (--found->second == 0)
             m_byOrganisation.erase(found);
     }
@@ -47,6 +50,7 @@
 private:
     PipelineLimits m_limits;
     std::size_t m_inUse = 0;
+    std::size_t m_reservedBytes = 0;
     std::map<OrganisationName, std::size_t> m_byOrganisation;
 };
 
--- a/tarragonhaven/pipelining/caller_request.cc
+++ b/tarragonhaven/pipelining/caller_request.cc
@@ -85,24 +85,20 @@
 
 bool CallerRequest::acquireAhead()
 {
-    m_startedAhead = m_session->aheadBudget().tryAcquire(m_organisation);
-    auto& metrics = entry().dependencies().metrics;
-    if (!m_startedAhead) {
-        metrics.recordAheadDenied();
+    m_reservedBytes = m_session->reserveAhead(m_organisation);
+    if (m_reservedBytes == 0)
         return false;
-    }
-    metrics.recordAheadStart();
     entry().dependencies().log.write(LogLevel::Info, "pipeline",
         { { "request", m_requestId }, { "event", "started-ahead" }, { "front", m_session->frontRequestId() },
-            { "organisation", m_organisation.text }, { "held", m_session->connection().budget->heldBytes() },
-            { "ahead", m_session->aheadBudget().inUse() } });
+            { "organisation", m_organisation.text }, { "reservedBytes", m_reservedBytes },
+            { "heldBytes", m_session->connection().budget->heldBytes() } });
     return true;
 }
 
 void CallerRequest::releaseAhead()
 {
-    if (std::exchange(m_startedAhead, false))
-        m_session->aheadBudget().release(m_organisation);
+    if (m_reservedBytes > 0)
+        m_session->releaseAhead(m_organisation, std::exchange(m_reservedBytes, 0));
 }
 
 // Returns a new idempotency key for the organisation that sent the request without one, or an empty text.
@@ -280,13 +276,16 @@
 {
     if (m_ended)
         return;
+    m_responseBytes += chunk.data.size();
+    m_session->responseSize().recordAtLeast(m_responseBytes);
     m_response.append(std::move(chunk));
     continueWhenWritten(std::move(handler));
 }
 
 void CallerRequest::continueWhenWritten(std::function<void(bool)> handler)
 {
-    if (!m_session->pipeline().isFront(m_number) && m_session->mayHoldMore())
+    const bool mayHoldMore = m_responseBytes < m_reservedBytes || m_session->mayHoldMore();
+    if (!m_session->pipeline().isFront(m_number) && mayHoldMore)
         return handler(true);
     m_onWritten = std::move(handler);
     m_session->proceed();
@@ -323,6 +322,7 @@
     if (m_ended)
         return;
     m_response.setEnd();
+    m_session->responseSize().record(m_responseBytes);
     m_session->proceed();
 }
 
@@ -379,7 +379,7 @@
 
 void CallerRequest::writeResponseHead()
 {
-    if (m_startedAhead && !entry().isStillAccepted(m_keyDigest))
+    if (m_reservedBytes > 0 && !entry().isStillAccepted(m_keyDigest))
         return abort({ RefusalReason::KeyNotAccepted, RunState::Ran, util::Duration {},
             "the key was revoked before the response was sent" });
     announceClose(m_bodyRemaining);
--- a/tarragonhaven/pipelining/caller_request.h
+++ b/tarragonhaven/pipelining/caller_request.h
@@ -102,12 +102,15 @@
     std::function<void(bool)> m_onWritten;
     boost::asio::steady_timer m_deadlineTimer;
     std::size_t m_discardedBytes = 0;
+    // The memory that is reserved for the response, if the request was started ahead of its turn, and the
+    // bytes of the response that have arrived.
+    std::size_t m_reservedBytes = 0;
+    std::size_t m_responseBytes = 0;
     bool m_bodyRemaining;
     bool m_idempotencyKeyRequired = false;
     bool m_begun = false;
     bool m_prefetching = false;
     bool m_prefetched = false;
-    bool m_startedAhead = false;
     bool m_closesAfterResponse = false;
     bool m_closeAnnounced = false;
     bool m_ended = false;
--- a/tarragonhaven/pipelining/caller_session.cc
+++ b/tarragonhaven/pipelining/caller_session.cc
@@ -13,6 +13,8 @@
     // The memory for bodies that is left to requests at the front of their connections: nothing is read or
     // held ahead while less than half of what Entry allows is free.
     constexpr std::size_t reservedForFrontBytes = 12 * 1024 * 1024;
+    // Large responses leave a connection this number of requests that are started ahead.
+    constexpr std::size_t maximumResponseDivisor = 4;
     // What a request that was read ahead takes beside its head.
     constexpr std::size_t requestBytes = sizeof(CallerRequest) + 2048;
 
@@ -32,6 +34,8 @@
     , m_aheadBudget(aheadBudget)
     , m_onEnd(std::move(onEnd))
     , m_pipeline(limits.requests)
+    , m_responseSize(limits.heldBytes / maximumResponseDivisor)
+    , m_maximumHeldBytes(limits.heldBytes)
 {
 }
 
@@ -61,7 +65,14 @@
         request->abandon(RefusalReason::Stopping, "the node is stopping");
 }
 
-bool CallerSession::busy() const { return !m_requests.empty() || m_reader->headBegun(); }
+void CallerSession::close()
+{
+    if (const auto lingeringClose = m_lingeringClose)
+        return lingeringClose->close();
+    end(CloseReason::Stopped);
+}
+
+bool CallerSession::busy() const { return !m_requests.empty() || m_reader->headBegun() || m_lingeringClose; }
 
 bool CallerSession::mayHoldMore() const
 {
@@ -69,6 +80,27 @@
         && m_connection->entry.bodyBudget().allows(reservedForFrontBytes);
 }
 
+std::size_t CallerSession::reserveAhead(const OrganisationName& organisation)
+{
+    const auto bytes = m_responseSize.bytes();
+    const bool allowed = m_reservedBytes + bytes <= m_maximumHeldBytes && m_connection->budget->allows(bytes)
+        && m_aheadBudget.tryAcquire(organisation, bytes);
+    auto& metrics = m_connection->entry.dependencies().metrics;
+    if (!allowed) {
+        metrics.recordAheadDenied();
+        return 0;
+    }
+    metrics.recordAheadStart();
+    m_reservedBytes += bytes;
+    return bytes;
+}
+
+void CallerSession::releaseAhead(const OrganisationName& organisation, std::size_t bytes)
+{
+    m_reservedBytes -= bytes;
+    m_aheadBudget.release(organisation, bytes);
+}
+
 bool CallerSession::mayReadHead() const
 {
     return m_pipeline.mayRead() && (m_pipeline.empty() || mayHoldMore());
@@ -199,12 +231,17 @@
     const auto self = shared_from_this();
     m_connection->entry.dependencies().log.write(
         LogLevel::Debug, "caller-connection", { { "event", "closed" }, { "reason", toString(reason) } });
-    error_code ignored;
-    m_connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    m_connection->stream.close();
     const auto requests = std::exchange(m_requests, {});
     for (const auto& request : requests)
         request->cancel();
+    error_code ignored;
+    if (reason == CloseReason::Announced && m_reader->mayReceiveMore()) {
+        m_connection->stream.cancel();
+        m_lingeringClose = std::make_shared<LingeringClose>(m_connection, [this, self] { m_onEnd(self); });
+        return m_lingeringClose->start();
+    }
+    m_connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_connection->stream.close();
     m_onEnd(self);
 }
 
--- a/tarragonhaven/pipelining/caller_session.h
+++ b/tarragonhaven/pipelining/caller_session.h
@@ -3,8 +3,10 @@
 #include "tarragonhaven/pipelining/ahead_budget.h"
 #include "tarragonhaven/pipelining/caller_connection.h"
 #include "tarragonhaven/pipelining/caller_request.h"
+#include "tarragonhaven/pipelining/lingering_close.h"
 #include "tarragonhaven/pipelining/request_pipeline.h"
 #include "tarragonhaven/pipelining/request_reader.h"
+#include "tarragonhaven/pipelining/response_size_estimate.h"
 #include "tarragonhaven/pipelining/response_writer.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -41,8 +43,8 @@
     void stop(bool closeIfIdle);
     // Refuses the requests in progress whose responses have not begun.
     void abandonRequests();
-    void close() { end(CloseReason::Stopped); }
-    // Returns whether a request is being read or executed.
+    void close();
+    // Returns whether a request is being read or executed, or its response may not have been received.
     [[nodiscard]] bool busy() const;
 
     // Called by the reader.
@@ -54,7 +56,11 @@
     [[nodiscard]] RequestReader& reader() { return *m_reader; }
     [[nodiscard]] ResponseWriter& writer() { return *m_writer; }
     [[nodiscard]] RequestPipeline& pipeline() { return m_pipeline; }
-    [[nodiscard]] AheadBudget& aheadBudget() { return m_aheadBudget; }
+    // Counts a request that is to be started ahead of its turn, if the limits allow it, and reserves memory
+    // for its response. Returns the number of bytes, or 0 if the request must wait.
+    std::size_t reserveAhead(const OrganisationName& organisation);
+    void releaseAhead(const OrganisationName& organisation, std::size_t bytes);
+    [[nodiscard]] ResponseSizeEstimate& responseSize() { return m_responseSize; }
     // Returns the id of the request whose response is written now or next.
     [[nodiscard]] std::string frontRequestId() const;
     // Returns whether more memory may be held for requests and responses whose turn has not come.
@@ -68,7 +74,8 @@
     void rejectUnread(RequestPipeline::Number number);
     // The response at the front has been written.
     void onAnswered(bool closeAnnounced);
-    // Closes the connection and gives up all its requests.
+    // Gives up all requests and closes the connection. If the caller may still be sending after the last
+    // response, it gets a moment to read that. The only place where the connection is closed.
     void end(CloseReason reason);
 
 private:
@@ -81,9 +88,13 @@
     AheadBudget& m_aheadBudget;
     EndHandler m_onEnd;
     RequestPipeline m_pipeline;
+    ResponseSizeEstimate m_responseSize;
+    std::size_t m_maximumHeldBytes;
+    std::size_t m_reservedBytes = 0;
     std::shared_ptr<RequestReader> m_reader;
     std::shared_ptr<ResponseWriter> m_writer;
     std::deque<std::shared_ptr<CallerRequest>> m_requests;
+    std::shared_ptr<LingeringClose> m_lingeringClose;
     bool m_proceeding = false;
     bool m_proceedAgain = false;
 };
--- a/tarragonhaven/pipelining/pipeline_limits.h
+++ b/tarragonhaven/pipelining/pipeline_limits.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "util/error.h"
+
 #include <compare>
 #include <cstddef>
 
@@ -19,9 +21,21 @@
     // node serves about 90 requests a second, so that ordinary callers have fewer in progress.
     std::size_t aheadRequests = 512;
     std::size_t aheadRequestsPerOrganisation = 128;
+    // Memory of all connections for responses to requests that were started ahead of their turn: half of what
+    // Entry allows for bodies.
+    std::size_t aheadBytes = 12 * 1024 * 1024;
 
     friend auto operator<=>(const PipelineLimits&, const PipelineLimits&) = default;
     friend bool operator==(const PipelineLimits&, const PipelineLimits&) = default;
 };
 
+// The limits that an operator may set, as read from flags.
+struct RawPipelineLimits {
+    double requests = 16;
+    double bytes = 4 * 1024 * 1024;
+};
+
+// Checks the limits and adds each fault under the name of its flag.
+PipelineLimits parsePipelineLimits(const RawPipelineLimits& raw, util::Faults& faults);
+
 } // namespace tarragonhaven
--- a/tarragonhaven/pipelining/request_reader.cc
+++ b/tarragonhaven/pipelining/request_reader.cc
@@ -94,6 +94,12 @@
     return length ? static_cast<std::int64_t>(*length) : -1;
 }
 
+bool RequestReader::mayReceiveMore() const
+{
+    error_code error;
+    return m_bodyRemaining || m_buffer.size() > 0 || m_connection->stream.socket().available(error) > 0;
+}
+
 RequestHead RequestReader::latestHead() const
 {
     return toRequestHead(m_parser->get(), m_bodyRemaining, contentLength());
--- a/tarragonhaven/pipelining/request_reader.h
+++ b/tarragonhaven/pipelining/request_reader.h
@@ -49,6 +49,8 @@
     [[nodiscard]] bool bodyRemaining() const { return m_bodyRemaining; }
     // Returns whether a part of a head has arrived.
     [[nodiscard]] bool headBegun() const { return !m_bodyRemaining && m_buffer.size() > 0; }
+    // Returns whether the caller has sent more than was read as requests, or is known to have more to send.
+    [[nodiscard]] bool mayReceiveMore() const;
     // Returns the latest head again, until the next one is read.
     [[nodiscard]] RequestHead latestHead() const;
     // Returns whether the error means that the connection was lost, not that the caller sent what is no HTTP.
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -41,6 +41,10 @@
     double, floor_share, 0.7, "Limits: share of a service's slots that ejection leaves in use, 0 to 1.");
 ABSL_FLAG(
     double, grace_seconds, 6, "Limits: time from the stop signal to the end of the process, 0.5 to 3600 s.");
+ABSL_FLAG(double, pipeline_requests, 16,
+    "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
+ABSL_FLAG(double, pipeline_bytes, 4194304,
+    "Limits: bytes of requests and responses held for one connection of a caller, 65536 to 67108864.");
 
 namespace tarragonhaven {
 
@@ -67,7 +71,8 @@
             absl::GetFlag(FLAGS_quota_window_seconds), absl::GetFlag(FLAGS_quota_overshoot),
             absl::GetFlag(FLAGS_quota_slack), absl::GetFlag(FLAGS_retry_window_seconds),
             absl::GetFlag(FLAGS_retry_share), absl::GetFlag(FLAGS_retry_slack),
-            absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds) };
+            absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds),
+            { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) } };
     }
 
     util::Faults applyEnvironment()
@@ -77,7 +82,7 @@
                 "peer_address", "operator_address", "metrics_address", "store_address", "log_level",
                 "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
-                "grace_seconds" });
+                "grace_seconds", "pipeline_requests", "pipeline_bytes" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -56,6 +56,7 @@
     settings.logLevel = parseLogLevelSetting(raw.logLevel, faults);
     settings.logBudget = parseLogBudgetSettings(raw.logLinesPerSecond, raw.logBytesPerSecond, faults);
     settings.policy = readPolicy(raw, faults);
+    settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
     return settings;
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -5,6 +5,7 @@
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/names.h"
+#include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "util/error.h"
 
 #include <optional>
@@ -31,6 +32,7 @@
     LogLevel logLevel = LogLevel::Info;
     LogBudgetOptions logBudget;
     FleetPolicy policy;
+    PipelineLimits pipeline;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -58,6 +60,7 @@
     double retrySlack = 0;
     double floorShare = 0;
     double graceSeconds = 0;
+    RawPipelineLimits pipeline;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -116,7 +116,7 @@
           m_dependencies.settings.instance, m_dependencies.settings.dataCentre,
           m_dependencies.localHello.incarnation,
           entryOptions(m_dependencies.settings, m_dependencies.headerNames), &m_admission })
-    , m_callers(m_thread.io(), m_entry, maximumConnections)
+    , m_callers(m_thread.io(), m_entry, maximumConnections, m_dependencies.settings.pipeline)
     , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello)
     , m_status(m_thread.io(), [this] { return sources(); })
 {
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -30,6 +30,10 @@
 ABSL_FLAG(double, drain_seconds, 20,
     "Limits: how long a planned stop waits for requests in progress, 0 to 3600 s.");
 ABSL_FLAG(int, maximum_connections, 10000, "Limits: maximum open connections of callers, 1 to 100000.");
+ABSL_FLAG(double, pipeline_requests, 16,
+    "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
+ABSL_FLAG(double, pipeline_bytes, 4194304,
+    "Limits: bytes of requests and responses held for one connection of a caller, 65536 to 67108864.");
 
 namespace {
 
@@ -51,7 +55,8 @@
         absl::GetFlag(FLAGS_operator_address), absl::GetFlag(FLAGS_platform_address),
         absl::GetFlag(FLAGS_seed_peers), absl::GetFlag(FLAGS_log_level),
         absl::GetFlag(FLAGS_log_lines_per_second), absl::GetFlag(FLAGS_log_bytes_per_second),
-        absl::GetFlag(FLAGS_drain_seconds), absl::GetFlag(FLAGS_maximum_connections) };
+        absl::GetFlag(FLAGS_drain_seconds), absl::GetFlag(FLAGS_maximum_connections),
+        { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) } };
 }
 
 int reportFaults(const util::Faults& faults)
@@ -69,7 +74,7 @@
     const auto environmentFaults = util::applyEnvironment(environmentPrefix,
         { "fleet", "instance", "data_centre", "caller_address", "peer_address", "operator_address",
             "platform_address", "seed_peers", "log_level", "log_lines_per_second", "log_bytes_per_second",
-            "drain_seconds", "maximum_connections" });
+            "drain_seconds", "maximum_connections", "pipeline_requests", "pipeline_bytes" });
     const auto positional = absl::ParseCommandLine(argumentCount, arguments);
     if (positional.size() > 1)
         return reportFaults({ { positional[1], "is not a flag" } });
--- a/tarragonhaven/testing/entry_node.cc
+++ b/tarragonhaven/testing/entry_node.cc
@@ -24,6 +24,7 @@
         result.hedgeShareOfObjective = 0.7;
         result.bufferedResponseBytes = options.bufferedResponseBytes;
         result.deadlineCoversBody = true;
+        result.serveWhileStopping = true;
         return result;
     }
 
@@ -37,10 +38,11 @@
     ConfigurationPointer configurationOf(const EntryNodeOptions& options)
     {
         auto declaration = testDeclaration({});
+        declaration.index.callerLimits = options.callerLimits;
         for (auto& route : declaration.index.routes) {
             route.objective = options.objective;
             route.deadline = options.deadline;
-            route.idempotent = options.idempotent;
+            route.idempotent = options.idempotent && (options.idempotentPosts || route.method != "POST");
             route.attempts = options.attempts;
         }
         auto configuration = Configuration::fromDeclaration(
@@ -70,7 +72,7 @@
     , m_log(self.text, LogLevel::Error)
     , m_entry({ m_thread.io(), m_guard, m_peers, m_admission, m_log, m_metrics, self, { "dc1" }, 1,
           entryOptions(options) })
-    , m_callers(m_thread.io(), m_entry, maximumConnections)
+    , m_callers(m_thread.io(), m_entry, maximumConnections, options.pipeline)
 {
     std::vector<Target> directoryTargets;
     for (const auto& [name, address] : targets) {
@@ -114,6 +116,21 @@
     return slots;
 }
 
+std::size_t EntryNode::heldBytes()
+{
+    std::size_t bytes = 0;
+    runOnThread([&] { bytes = m_entry.bodyBudget().heldBytes(); });
+    return bytes;
+}
+
+void EntryNode::stop()
+{
+    runOnThread([this] {
+        m_entry.stop();
+        m_callers.closeAfterResponses();
+    });
+}
+
 void EntryNode::abandonRequests()
 {
     runOnThread([this] { m_callers.abandonRequests(); });
--- a/tarragonhaven/testing/entry_node.h
+++ b/tarragonhaven/testing/entry_node.h
@@ -17,8 +17,12 @@
     util::Duration deadline = std::chrono::milliseconds(1000);
     util::Duration objective = std::chrono::milliseconds(600);
     bool idempotent = true;
+    // Whether POST requests are idempotent too, if the others are.
+    bool idempotentPosts = true;
     int attempts = 3;
     std::size_t bufferedResponseBytes = 1024 * 1024;
+    CallerLimits callerLimits;
+    PipelineLimits pipeline;
 };
 
 // The part of a sidecar node that forwards requests: an entry that serves callers over sockets, and the guard
@@ -40,6 +44,10 @@
     [[nodiscard]] const Endpoint& callerAddress() const { return m_callerAddress; }
     // Returns the number of slots in use at all targets.
     [[nodiscard]] int slotsInUse();
+    // Returns the memory for bodies that are kept.
+    [[nodiscard]] std::size_t heldBytes();
+    // Begins a planned stop, as a node does.
+    void stop();
     // Ends the requests in progress as a node does at the end of its grace period.
     void abandonRequests();
 
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -44,6 +44,7 @@
     raw.quotaOvershoot = 11;
     raw.floorShare = 1.5;
     raw.graceSeconds = 0;
+    raw.pipeline = { 0, 1000 };
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -51,5 +52,5 @@
         faultPaths.insert(fault.path);
     CHECK(faultPaths
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
-            "quota_overshoot", "floor_share", "grace_seconds" });
+            "quota_overshoot", "floor_share", "grace_seconds", "pipeline_requests", "pipeline_bytes" });
 }
