Test what pipelining guards against more strictly

Found by changing the code under test: the oracle did not check what is read after a stop, the order of a request that is not idempotent was not checked against those behind it, and nothing failed without the lingering close.

--- a/tarragonhaven/testing/directed_target.cc
+++ b/tarragonhaven/testing/directed_target.cc
@@ -102,9 +102,9 @@
             const auto number = begin(id);
             pollfd closed { socket.native_handle(), POLLIN, 0 };
             const bool cancelled = ::poll(&closed, 1, directions.waitMs) > 0;
+            end(number, cancelled);
             if (!cancelled)
                 respond(socket, directions.other ? "other" : id, directions, error);
-            end(number, cancelled);
             if (cancelled || directions.cut)
                 break;
         }
--- a/tarragonhaven/testing/directed_target.h
+++ b/tarragonhaven/testing/directed_target.h
@@ -13,7 +13,7 @@
 struct DirectedRun {
     std::string id;
     std::chrono::steady_clock::time_point begin;
-    // When the response was written or the request was given up; the epoch while it runs.
+    // When the response was about to be written, or the request was given up; the epoch while it runs.
     std::chrono::steady_clock::time_point end;
     // Whether the connection was closed before the response.
     bool cancelled = false;
--- a/tarragonhaven/testing/pipelining_test.cc
+++ b/tarragonhaven/testing/pipelining_test.cc
@@ -54,10 +54,11 @@
             m_stream.socket().connect({ asio::ip::make_address(node.address), node.port });
         }
 
-        void send(const std::string& bytes)
+        bool send(const std::string& bytes)
         {
-            error_code ignored;
-            asio::write(m_stream.socket(), asio::buffer(bytes), ignored);
+            error_code error;
+            asio::write(m_stream.socket(), asio::buffer(bytes), error);
+            return !error;
         }
         void halfClose() { m_stream.socket().shutdown(tcp::socket::shutdown_send); }
         void close() { m_stream.close(); }
@@ -91,10 +92,10 @@
                     absl::StrCat(answer->id, " ", answer->status, answer->closes ? " close" : ""));
                 if (answer->status == 200)
                     CHECK(answer->body == DirectedTarget::bodyFor(answer->id, bytes));
-                if (answer->closes)
-                    CHECK_FALSE(read());
-                if (answer->closes)
-                    break;
+                if (!answer->closes)
+                    continue;
+                CHECK_FALSE(read());
+                break;
             }
             return absl::StrJoin(answers, ", ");
         }
@@ -181,9 +182,10 @@
 {
     Node fleet;
     Caller caller(fleet.address());
-    caller.send(request(0, "/status/w200") + request(1, "/status/w100") + request(2, "/notes", "POST", "w")
-        + request(3, "/status/a") + request(4, "/notes", "POST", "w")
-        + request(5, "/status/b", "PUT", std::string(100'000, 'b')) + request(6, "/status/c"));
+    caller.send(request(0, "/status/w200") + request(1, "/status/w100")
+        + request(2, "/notes?/w100", "POST", "b") + request(3, "/status/a")
+        + request(4, "/notes?/w100", "POST", "b") + request(5, "/status/b", "PUT", std::string(100'000, 'b'))
+        + request(6, "/status/c"));
     for (int i = 0; i < 7; ++i) {
         const auto answer = caller.read();
         REQUIRE(answer);
@@ -192,8 +194,12 @@
     }
     for (const int post : { 2, 4 }) {
         const auto alone = fleet.runOf(absl::StrCat("r", post));
-        for (const auto& run : fleet.runs())
-            CHECK((run.id == alone.id || run.end <= alone.begin || run.begin >= alone.end));
+        for (int i = 0; i < 7; ++i) {
+            const auto run = fleet.runOf(absl::StrCat("r", i));
+            CAPTURE(post, i);
+            CHECK((i >= post || run.end <= alone.begin));
+            CHECK((i <= post || run.begin >= alone.end));
+        }
     }
     CHECK(fleet.runOf("r1").begin < fleet.runOf("r0").end);
 }
@@ -320,6 +326,19 @@
     CHECK(fleet.runsOf("r3") == 0);
 }
 
+// Guards against a connection that is reset because bytes are unread, so that the caller loses the response.
+TEST_CASE("a caller that is still sending when the connection closes can read the last response", "[net]")
+{
+    Node fleet;
+    Caller caller(fleet.address());
+    caller.send(request(0, "/status/a").insert(24, "Connection: close\r\n") + request(1, "/status/a"));
+    for (int i = 0; i < 3; ++i) {
+        std::this_thread::sleep_for(milliseconds(100));
+        CHECK(caller.send(request(2, "/status/a")));
+    }
+    CHECK(caller.readAll() == "r0 200 close");
+}
+
 // Guards against a failure of one response that damages others, or that makes its own appear complete.
 TEST_CASE("a target that dies in the middle of a response affects no other response", "[net]")
 {
@@ -419,6 +438,43 @@
     }
 }
 
+// Guards against a response that fills the memory of a node while it waits for its turn.
+TEST_CASE("a response that is larger than expected is read from its target at its turn", "[net]")
+{
+    constexpr std::size_t bytes = 6'000'000;
+    auto nodeOptions = options();
+    nodeOptions.pipeline.heldBytes = 300'000;
+    Node fleet(nodeOptions);
+    Caller caller(fleet.address());
+    caller.send(request(0, "/status/w500") + request(1, absl::StrCat("/status/s", bytes))
+        + request(2, absl::StrCat("/status/chunked/s", bytes)) + request(3, "/status/a"));
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(fleet.node.heldBytes() < nodeOptions.pipeline.heldBytes + 4 * 16'384);
+    for (const auto size : { std::size_t { 10 }, bytes, bytes, std::size_t { 10 } }) {
+        const auto answer = caller.read();
+        REQUIRE(answer);
+        CHECK(answer->body == DirectedTarget::bodyFor(answer->id, size));
+    }
+}
+
+TEST_CASE("a pipelined request that waits for \"100 Continue\" is asked for its body at its turn", "[net]")
+{
+    Node fleet;
+    Caller caller(fleet.address());
+    const std::string body = "a body";
+    auto expecting = request(1, "/status/a", "PUT", body).insert(24, "Expect: 100-continue\r\n");
+    expecting.resize(expecting.size() - body.size());
+    caller.send(request(0, "/status/w200") + expecting);
+    for (const int status : { 200, 100, 200 }) {
+        const auto answer = caller.read();
+        REQUIRE(answer);
+        CHECK(answer->status == status);
+        if (status == 100)
+            caller.send(body + request(2, "/status/a"));
+    }
+    CHECK(caller.read());
+}
+
 // Guards against a response that is delivered for another request, whatever the order in which targets
 // respond.
 TEST_CASE("random pipelined requests get their own responses in order", "[net]")
--- a/tarragonhaven/testing/request_pipeline_test.cc
+++ b/tarragonhaven/testing/request_pipeline_test.cc
@@ -7,7 +7,8 @@
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
-#include <map>
+#include <limits>
+#include <memory>
 #include <random>
 #include <vector>
 
@@ -36,7 +37,7 @@
             int idle = 0;
             for (int step = 0; !m_closed && idle < 1000; ++step) {
                 if (step == m_stopStep)
-                    m_pipeline.stop();
+                    stop();
                 startRequests();
                 idle = act() ? 0 : idle + 1;
                 check();
@@ -65,6 +66,14 @@
         int pick(int count) { return std::uniform_int_distribution(0, count - 1)(m_random); }
         [[nodiscard]] bool isFront(std::size_t number) const { return m_pipeline.isFront(number); }
 
+        // One more request may be read only if no response is left that can announce the close.
+        void stop()
+        {
+            const bool begun = !m_requests.empty() && m_requests.back()->response.begun();
+            m_maximumRead = m_requests.size() + (m_pipeline.empty() || begun ? 1 : 0);
+            m_pipeline.stop();
+        }
+
         bool act()
         {
             switch (pick(4)) {
@@ -228,6 +237,7 @@
             // Every request that was read is answered, unless it is behind a response that closed the
             // connection; the response of a target that failed in its middle is cut off.
             CHECK(m_closed);
+            CHECK(m_requests.size() <= m_maximumRead);
             CHECK(m_answered + m_dropped + (m_truncated ? 1 : 0) == m_requests.size());
             if (m_truncated) {
                 const auto& cut = *m_requests.at(m_answered);
@@ -248,6 +258,7 @@
         BodyBudget m_budget { heldLimitBytes };
         RequestPipeline m_pipeline { maximumRequests };
         std::vector<std::unique_ptr<Request>> m_requests;
+        std::size_t m_maximumRead = std::numeric_limits<std::size_t>::max();
         std::size_t m_answered = 0;
         std::size_t m_dropped = 0;
         bool m_bodyOpen = false;
