--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -1,18 +1,17 @@
 #pragma once
 
 #include "tarragonhaven/attempt_planner.h"
+#include "tarragonhaven/body_buffer.h"
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/exchange.h"
 #include "tarragonhaven/guard_exchange.h"
 #include "tarragonhaven/peer_exchange.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
 #include <variant>
-#include <vector>
 
 namespace tarragonhaven {
 
@@ -26,7 +25,8 @@
 // targets may run a request. If all attempts fail, the handlers receive a Refusal.
 class EntryExchange : public std::enable_shared_from_this<EntryExchange> {
 public:
-    EntryExchange(Entry& entry, AcceptedRequest request);
+    // Counts the bodies that it keeps in `budget`, or in that of the entry if it is null.
+    EntryExchange(Entry& entry, AcceptedRequest request, std::shared_ptr<BodyBudget> budget = nullptr);
     ~EntryExchange();
     EntryExchange(const EntryExchange&) = delete;
     EntryExchange& operator=(const EntryExchange&) = delete;
@@ -47,8 +47,13 @@
         = std::variant<std::monostate, std::shared_ptr<GuardExchange>, std::shared_ptr<PeerExchange>>;
     // A response that was read completely.
     struct BufferedResponse {
+        BufferedResponse(ResponseHead responseHead, BodyBudget& budget)
+            : head(std::move(responseHead))
+            , body(budget)
+        {
+        }
         ResponseHead head;
-        std::deque<BodyChunk> body;
+        BodyBuffer body;
     };
 
     // A second attempt while the first one waits for its response.
@@ -83,8 +88,9 @@
     void logResponse(int status);
     void onOpened(Outcome<void> opened, const OutcomeHandler<void>& handler);
     void onHeadRead(Outcome<ResponseHead> head, const OutcomeHandler<ResponseHead>& handler);
-    void bufferResponse(
-        const ResponseHead& head, std::size_t bytes, const OutcomeHandler<ResponseHead>& handler);
+    void bufferResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler);
+    // Keeps the buffered response, to pass it on if no later attempt succeeds.
+    void keepAsFallback(const ResponseHead& head);
     void onResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler);
     void onAttemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     void retry(const OutcomeHandler<ResponseHead>& handler);
@@ -109,6 +115,7 @@
     void logFailedAttempt(const TargetName& target, const Refusal& refusal, std::string_view again);
 
     Entry& m_entry;
+    std::shared_ptr<BodyBudget> m_budget;
     AcceptedRequest m_request;
     Attempt m_attempt;
     TargetName m_target;
@@ -119,10 +126,11 @@
     bool m_admitted = false;
     bool m_settled = false;
     bool m_sendStarted = false;
-    std::vector<BodyChunk> m_replayBody;
+    // What was sent of the request body, while all of it is kept to be sent again.
+    BodyBuffer m_replayBody;
     std::size_t m_sentBodyBytes = 0;
     // The part of the response body that was read before the head was passed on.
-    std::deque<BodyChunk> m_bufferedBody;
+    BodyBuffer m_bufferedBody;
     // A server error from a target, passed on if no later attempt succeeds.
     std::optional<BufferedResponse> m_fallbackResponse;
     // The refusal of the latest attempt that may have run, if any.
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -51,6 +51,10 @@
     "Limits: requests beyond --cold_overshoot that a cold target may get in a second; 8 if empty.");
 ABSL_FLAG(std::string, regions, "",
     "Regions: JSON object of data centres and the names of their regions; without it no region is known.");
+ABSL_FLAG(double, pipeline_requests, 16,
+    "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
+ABSL_FLAG(double, pipeline_bytes, 4194304,
+    "Limits: bytes of requests and responses held for one connection of a caller, 65536 to 67108864.");
 
 namespace tarragonhaven {
 
@@ -79,7 +83,8 @@
             absl::GetFlag(FLAGS_retry_share), absl::GetFlag(FLAGS_retry_slack),
             absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds),
             absl::GetFlag(FLAGS_evacuation_ms), absl::GetFlag(FLAGS_cold_overshoot),
-            absl::GetFlag(FLAGS_cold_slack), absl::GetFlag(FLAGS_regions) };
+            absl::GetFlag(FLAGS_cold_slack), absl::GetFlag(FLAGS_regions),
+            { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) } };
     }
 
     util::Faults applyEnvironment()
@@ -89,7 +94,8 @@
                 "peer_address", "operator_address", "metrics_address", "store_address", "log_level",
                 "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
-                "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions" });
+                "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions",
+                "pipeline_requests", "pipeline_bytes" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -65,6 +65,7 @@
     settings.logBudget = parseLogBudgetSettings(raw.logLinesPerSecond, raw.logBytesPerSecond, faults);
     settings.policy = readPolicy(raw, faults);
     settings.regions = parseRegionTable(raw.regions, "regions", faults);
+    settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
     return settings;
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/names.h"
+#include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "util/error.h"
 
 #include <optional>
@@ -33,6 +34,7 @@
     LogBudgetOptions logBudget;
     FleetPolicy policy;
     RegionTable regions;
+    PipelineLimits pipeline;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -65,6 +67,7 @@
     std::string coldOvershoot;
     std::string coldSlack;
     std::string regions;
+    RawPipelineLimits pipeline;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -50,6 +50,7 @@
     raw.coldOvershoot = "0.5";
     raw.coldSlack = "-1";
     raw.regions = "north";
+    raw.pipeline = { 0, 1000 };
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -58,5 +59,5 @@
     CHECK(faultPaths
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
             "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms", "cold_overshoot",
-            "cold_slack", "regions" });
+            "cold_slack", "regions", "pipeline_requests", "pipeline_bytes" });
 }
