Grant retries one by one near the limit of a service

While a service shed half of its requests for 9 s and one kind of request doubled, it received up to 629 repeated requests in 10 s where 569 were allowed, and other requests were refused for lack of the same budget.

Nodes decided by sums of the others that were up to a second old, and beyond 0.56 of the allowance each used an even part, which failures do not reach evenly. Nested requests of repeated runs counted as first attempts, so they raised the allowance of the service that they called.

The allowance uses the earlier windows that the rule permits. The entry tells the guard which runs are repeats, and the share of repeats among the present runs of a target counts as repeats of its nested requests; the expected rest of these is kept back. Requests count when they are admitted, and a retry that reached no target is given back. A restarted fleet raises its allowance over one window.

Ruled out: even parts (above), leases of several retries (with fewer retries than nodes most of them would expire unused), a share granted by chance (right only on average).

--- a/tarragonhaven/control_message.cc
+++ b/tarragonhaven/control_message.cc
@@ -10,6 +10,8 @@
     constexpr std::size_t envelopeFields = 6;
     // Limits on the arrays and the nesting of a received message.
     constexpr std::size_t maximumItems = 512;
+    // Above the number of ranks that a fleet uses (QuotaUsage::waiting).
+    constexpr std::size_t maximumMapItems = 64;
     constexpr std::size_t maximumDepth = 6;
 
     template <std::size_t Kind = 0>
@@ -55,7 +57,8 @@
 
 std::optional<ControlEnvelope> decodeControl(std::string_view bytes)
 {
-    const msgpack::unpack_limit limit(maximumItems, 0, bytes.size(), bytes.size(), 0, maximumDepth);
+    const msgpack::unpack_limit limit(
+        maximumItems, maximumMapItems, bytes.size(), bytes.size(), 0, maximumDepth);
     try {
         const auto handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
         return decodeEnvelope(handle.get());
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -72,7 +72,6 @@
 
 void EntryExchange::open(OutcomeHandler<void> handler)
 {
-    m_entry.retries().recordFirstAttempt(m_request.context.service);
     m_entry.dependencies().admission.admit(admissionRequest(),
         [self = shared_from_this(), handler = std::move(handler)](Outcome<void> admitted) {
             if (!admitted)
@@ -80,10 +79,20 @@
             self->m_admitted = true;
             if (self->m_cancelled)
                 return self->settleAdmission(IdempotencyOutcome::NotRun, 0);
+            self->recordRequest();
             self->startAttempt(handler);
         });
 }
 
+void EntryExchange::recordRequest()
+{
+    const auto& context = m_request.context;
+    if (context.rank == internalRequestRank && m_entry.dependencies().guard.takeNestedRepeat())
+        m_entry.retries().recordNestedRepeat(context.service);
+    else
+        m_entry.retries().recordFirstAttempt(context.service);
+}
+
 TargetChoice EntryExchange::choose()
 {
     auto& context = m_request.context;
@@ -125,6 +134,7 @@
 EntryExchange::Attempt EntryExchange::makeExchange(const Target& target, const RequestContext& context)
 {
     auto attemptContext = context;
+    attemptContext.repeat = context.repeat || m_reachedTarget;
     attemptContext.knownTargetLimit = m_entry.noticeOf(target).requestsPerSecond;
     const auto& dependencies = m_entry.dependencies();
     if (target.instance == dependencies.self) {
@@ -204,20 +214,36 @@
         return "the shortest queues are too long";
     if (m_possibleRuns >= m_request.route.attempts)
         return "as many targets as its route allows may have run it";
-    if (!reachedTarget(refusal))
-        return "";
-    if (!m_entry.retries().tryAcquireRetry(m_request.context.service))
-        return "the retry budget of the service is exhausted";
-    m_entry.dependencies().metrics.recordRetry();
     return "";
 }
 
-bool EntryExchange::recordFailedAttempt(const Refusal& refusal)
+void EntryExchange::recordFailedAttempt(const Refusal& refusal, std::function<void(bool)> handler)
 {
     recordRefusal(m_target, refusal);
+    if (reachedTarget(refusal))
+        m_holdsRetry = false;
     const auto denialReason = retryDenialReason(refusal);
-    logFailedAttempt(m_target, refusal, denialReason.empty() ? std::string_view("yes") : denialReason);
-    return denialReason.empty();
+    if (!denialReason.empty() || !reachedTarget(refusal)) {
+        logFailedAttempt(m_target, refusal, denialReason.empty() ? std::string_view("yes") : denialReason);
+        return handler(denialReason.empty());
+    }
+    m_entry.retries().acquireRetry(m_request.context.service, m_request.context.rank,
+        [self = shared_from_this(), refusal, target = m_target, handler = std::move(handler)](bool granted) {
+            self->m_holdsRetry = granted;
+            if (self->m_cancelled)
+                return self->returnUnusedRetry();
+            self->logFailedAttempt(target, refusal,
+                granted ? std::string_view("yes") : "the retry budget of the service is exhausted");
+            if (granted)
+                self->m_entry.dependencies().metrics.recordRetry();
+            handler(granted);
+        });
+}
+
+void EntryExchange::returnUnusedRetry()
+{
+    if (std::exchange(m_holdsRetry, false))
+        m_entry.retries().returnRetry(m_request.context.service);
 }
 
 void EntryExchange::logFailedAttempt(const TargetName& target, const Refusal& refusal, std::string_view again)
@@ -233,6 +259,7 @@
 {
     m_planner.recordRefusal(target, refusal.reason);
     containment().recordRefusal(m_request.context.fingerprint, refusal);
+    m_reachedTarget = m_reachedTarget || reachedTarget(refusal);
     if (refusal.reason == RefusalReason::NoFreeSlot || refusal.reason == RefusalReason::TargetSuspect)
         return;
     if (refusal.reason == RefusalReason::PeerUnreachable) {
@@ -252,13 +279,17 @@
     if (opened)
         return handler({});
     onAttemptEnded();
-    if (recordFailedAttempt(opened.error()))
-        return startAttempt(handler);
-    handler(tl::unexpected(finalRefusal(opened.error())));
+    recordFailedAttempt(
+        opened.error(), [self = shared_from_this(), handler, refusal = opened.error()](bool retried) {
+            if (retried)
+                return self->startAttempt(handler);
+            handler(tl::unexpected(self->finalRefusal(refusal)));
+        });
 }
 
 Refusal EntryExchange::finalRefusal(Refusal refusal)
 {
+    returnUnusedRetry();
     if (refusal.run == RunState::NotRun && m_unknownOutcome)
         refusal = *m_unknownOutcome;
     TARRAGONHAVEN_CHECK(refusal.run != RunState::NotRun || !m_unknownOutcome,
@@ -328,6 +359,7 @@
     auto context = m_request.context;
     context.mayQueue = false;
     context.bypassesBreaker = false;
+    context.repeat = true;
     auto exchange = makeExchange(*choice.target, context);
     if (std::holds_alternative<std::monostate>(exchange) || !m_entry.retries().tryAcquireHedge(service))
         return;
@@ -465,15 +497,20 @@
 void EntryExchange::onResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler)
 {
     const bool failure = head.status >= firstServerErrorStatus && m_request.context.idempotent;
-    if (failure) {
-        const auto refusal = failureOf(head);
-        const bool complete = !head.hasBody || (!m_bufferedBody.empty() && m_bufferedBody.back().last);
-        if (recordFailedAttempt(refusal)) {
-            if (complete)
-                m_fallbackResponse = BufferedResponse { head, std::exchange(m_bufferedBody, {}) };
-            return retry(handler);
-        }
-    }
+    if (!failure)
+        return passResponse(head, handler);
+    recordFailedAttempt(failureOf(head), [self = shared_from_this(), head, handler](bool retried) {
+        if (!retried)
+            return self->passResponse(head, handler);
+        auto& body = self->m_bufferedBody;
+        if (!head.hasBody || (!body.empty() && body.back().last))
+            self->m_fallbackResponse = BufferedResponse { head, std::exchange(body, {}) };
+        self->retry(handler);
+    });
+}
+
+void EntryExchange::passResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler)
+{
     m_responseReceived = !head.hasBody || (!m_bufferedBody.empty() && m_bufferedBody.back().last);
     settleAdmission(IdempotencyOutcome::Completed, head.status);
     const auto& context = m_request.context;
@@ -489,9 +526,11 @@
 void EntryExchange::onAttemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler)
 {
     m_bufferedBody.clear();
-    if (recordFailedAttempt(refusal))
-        return retry(handler);
-    finish(refusal, handler);
+    recordFailedAttempt(refusal, [self = shared_from_this(), refusal, handler](bool retried) {
+        if (retried)
+            return self->retry(handler);
+        self->finish(refusal, handler);
+    });
 }
 
 void EntryExchange::retry(const OutcomeHandler<ResponseHead>& handler)
@@ -523,6 +562,7 @@
 {
     if (!m_fallbackResponse)
         return handler(tl::unexpected(finalRefusal(refusal)));
+    returnUnusedRetry();
     m_bufferedBody = std::move(m_fallbackResponse->body);
     m_responseReceived = true;
     settleAdmission(IdempotencyOutcome::Completed, m_fallbackResponse->head.status);
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -86,15 +87,16 @@
     void bufferResponse(
         const ResponseHead& head, std::size_t bytes, const OutcomeHandler<ResponseHead>& handler);
     void onResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler);
+    // Passes a response on as the result of the request.
+    void passResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler);
     void onAttemptFailed(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     void retry(const OutcomeHandler<ResponseHead>& handler);
     void replayBody(std::size_t next, const OutcomeHandler<ResponseHead>& handler);
-    // Records why an attempt failed, so that later attempts and other requests can avoid its target. Returns
-    // whether the request is to be retried.
-    [[nodiscard]] bool recordFailedAttempt(const Refusal& refusal);
+    // Records why an attempt failed, so that later attempts and other requests can avoid its target. Calls
+    // the handler with whether the request is to be retried, at once or when the retry limit has been asked.
+    void recordFailedAttempt(const Refusal& refusal, std::function<void(bool)> handler);
     void recordRefusal(const TargetName& target, const Refusal& refusal);
-    // Returns why the request is not retried, or an empty text if it is. Takes a retry out of the budget if
-    // the failed attempt reached a target.
+    // Returns why the request is not retried, or an empty text if it may be. The budget is not checked.
     [[nodiscard]] std::string_view retryDenialReason(const Refusal& refusal);
     [[nodiscard]] bool canReplayBody() const;
     // Ends the request with the fallback response, if there is one, or with the refusal. The refusal never
@@ -102,6 +104,8 @@
     void finish(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     Refusal finalRefusal(Refusal refusal);
     void onAttemptEnded();
+    void recordRequest();
+    void returnUnusedRetry();
     void settleAdmission(IdempotencyOutcome outcome, int status);
     [[nodiscard]] AdmissionRequest admissionRequest() const;
     template <typename Call> static void withExchange(Attempt& attempt, Call call);
@@ -118,6 +122,9 @@
     std::uint64_t m_outstandingNumber = 0;
     bool m_admitted = false;
     bool m_settled = false;
+    // Whether any attempt has reached a target, and whether a retry was taken for an attempt that has not.
+    bool m_reachedTarget = false;
+    bool m_holdsRetry = false;
     bool m_sendStarted = false;
     std::vector<BodyChunk> m_replayBody;
     std::size_t m_sentBodyBytes = 0;
--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -119,6 +119,18 @@
     return changes;
 }
 
+bool Guard::takeNestedRepeat()
+{
+    double running = 0;
+    for (const auto& [name, target] : m_targets)
+        running = std::max(running, target->repeatShare());
+    m_nestedRepeats += running;
+    if (m_nestedRepeats < 1)
+        return false;
+    m_nestedRepeats -= 1;
+    return true;
+}
+
 bool Guard::busy() const
 {
     return std::any_of(
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -56,6 +56,10 @@
     // Refuses new requests from now on, because the instance is stopping.
     void drain();
 
+    // Returns whether the next nested request of a target counts as one of a repeated run. A nested request
+    // does not name the run that makes it, so as many count as the share of repeats among the present runs.
+    bool takeNestedRepeat();
+
     // Returns whether any request is running at a target or waiting for one.
     [[nodiscard]] bool busy() const;
     [[nodiscard]] const std::map<TargetName, std::shared_ptr<GuardedTarget>>& targets() const
@@ -77,6 +81,8 @@
     boost::asio::io_context& m_io;
     InstanceName m_self;
     std::uint64_t m_incarnation;
+    // The sum of the shares of repeats for past nested requests, less those that counted as repeats.
+    double m_nestedRepeats = 0;
     CrashContainment m_containment;
     GuardOptions m_options;
     bool m_draining = false;
--- a/tarragonhaven/guard_exchange.cc
+++ b/tarragonhaven/guard_exchange.cc
@@ -140,7 +140,7 @@
     if (!m_requestBegun) {
         m_requestBegun = true;
         m_sentAt = util::BootClock::now();
-        m_target->recordSent(m_ticket);
+        m_target->recordSent(m_ticket, m_context.repeat);
         m_connection->beginRequest(headForTarget(), m_context.requestId, m_context.deadline + responseGrace,
             m_context.deadlineCoversBody);
     }
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -308,10 +308,19 @@
             [](const auto& connection) { return connection->stillOpen(); });
 }
 
-void GuardedTarget::recordSent(std::uint64_t ticket)
+void GuardedTarget::recordSent(std::uint64_t ticket, bool repeat)
 {
     const bool probe = m_breaker && m_breaker->recordSent();
-    m_inFlight.emplace(ticket, InFlightRequest { util::BootClock::now(), probe, false });
+    m_inFlight.emplace(ticket, InFlightRequest { util::BootClock::now(), probe, false, repeat });
+}
+
+double GuardedTarget::repeatShare() const
+{
+    if (m_inFlight.empty())
+        return 0;
+    const auto repeats = std::count_if(
+        m_inFlight.begin(), m_inFlight.end(), [](const auto& item) { return item.second.repeat; });
+    return static_cast<double>(repeats) / static_cast<double>(m_inFlight.size());
 }
 
 void GuardedTarget::recordBreakerResult(TargetResult result, bool probe)
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -70,7 +70,7 @@
 
     // recordSent() records that a request with a slot was sent to the target; recordResult() then records its
     // result, once. `timeToFirstByte` is used for a success only.
-    void recordSent(std::uint64_t ticket);
+    void recordSent(std::uint64_t ticket, bool repeat = false);
     void recordResult(std::uint64_t ticket, TargetResult result, util::Duration timeToFirstByte = {});
     // Records that a request with a slot is given up before its result. If it was sent and has waited for
     // several times the usual service time, it counts as a failure: otherwise a target that hangs would go
@@ -83,6 +83,8 @@
     void recordConnectFailure();
 
     [[nodiscard]] TargetReport report();
+    // Returns which share of the requests that the target is running are repeats.
+    [[nodiscard]] double repeatShare() const;
     // Returns whether any request is running at the target or waiting for it.
     [[nodiscard]] bool busy() const { return m_queue.inUse() > 0 || m_queue.waiting() > 0; }
     [[nodiscard]] int slotsInUse() const { return m_queue.inUse(); }
@@ -116,6 +118,7 @@
         util::Time sentAt {};
         bool probe = false;
         bool overdue = false;
+        bool repeat = false;
     };
 
     // Returns the refusal for a request that must not be queued or given a slot, if any.
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -85,6 +85,7 @@
     frame.bypassesBreaker = m_context.bypassesBreaker;
     frame.knownTargetLimit = m_context.knownTargetLimit;
     frame.fingerprint = m_context.fingerprint;
+    frame.repeat = m_context.repeat;
     return frame;
 }
 
--- a/tarragonhaven/peer_frame.h
+++ b/tarragonhaven/peer_frame.h
@@ -53,8 +53,10 @@
     // The target's limit in requests per second, if the entry node knows one.
     std::optional<double> knownTargetLimit;
     RequestFingerprint fingerprint;
+    // Whether another attempt of the request has reached a target.
+    bool repeat = false;
     MSGPACK_DEFINE_ARRAY(requestId, organisation, target, idempotent, remainingUs, head, callerService, rank,
-        mayQueue, deadlineCoversBody, queueTimeoutUs, bypassesBreaker, knownTargetLimit, fingerprint);
+        mayQueue, deadlineCoversBody, queueTimeoutUs, bypassesBreaker, knownTargetLimit, fingerprint, repeat);
 
     friend bool operator==(const OpenFrame&, const OpenFrame&) = default;
 };
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -109,6 +109,7 @@
     context.bypassesBreaker = frame.bypassesBreaker;
     context.knownTargetLimit = frame.knownTargetLimit;
     context.fingerprint = frame.fingerprint;
+    context.repeat = frame.repeat;
     return context;
 }
 
--- a/tarragonhaven/quota_aggregator.cc
+++ b/tarragonhaven/quota_aggregator.cc
@@ -17,11 +17,20 @@
     // A node counts as unresponsive this long after its first unanswered query. The time allows for a round
     // trip. A node whose query or report was lost also counts as unresponsive until its next report.
     constexpr util::Duration queryTimeout = std::chrono::milliseconds(300);
+    // Nodes with requests report at least this often (QuotaOptions::idleReportInterval, and a tick).
+    constexpr util::Duration expectedReportInterval = std::chrono::milliseconds(1150);
+    // A node without a report for this long has no requests under the name, or is cut off.
+    constexpr util::Duration silentAfter = std::chrono::seconds(2);
+    // A report that arrives this soon after a grant may have been sent before the grant arrived. Above a
+    // round trip between data centres.
+    constexpr util::Duration grantDelivery = std::chrono::milliseconds(30);
 
 } // namespace
 
-double QuotaAggregator::decayed(double count, util::Time at, util::Time now) const
+double QuotaAggregator::decayed(double count, util::Time at, util::Time now, util::Duration constantFor) const
 {
+    if (now - at <= constantFor)
+        return count;
     return count * std::max(0.0, 1 - util::toSeconds(now - at) / util::toSeconds(m_window));
 }
 
@@ -36,9 +45,9 @@
     for (const auto& [other, reported] : nodes) {
         if (other == node)
             continue;
-        admitted += decayed(reported.usage.admitted, reported.receivedAt, now)
+        admitted += decayed(reported.usage.admitted + reported.granted, reported.receivedAt, now, silentAfter)
             + decayed(reported.admittedBeforeRestart, reported.restartSeenAt, now);
-        requested += decayed(reported.usage.requested, reported.receivedAt, now);
+        requested += decayed(reported.usage.requested, reported.receivedAt, now, expectedReportInterval);
         requestedOfRecentlyStarted += reported.usage.recentlyStarted
             ? decayed(reported.usage.requested, reported.receivedAt, now)
             : 0;
@@ -48,15 +57,85 @@
     if (usage.recentlyStarted && !current.usage.recentlyStarted) {
         current.admittedBeforeRestart = decayed(current.usage.admitted, current.receivedAt, now);
         current.restartSeenAt = now;
+        current.historyUnknown = current.receivedAt == util::Time {};
     }
     current.usage = usage;
     current.receivedAt = now;
+    if (now - current.grantedAt > grantDelivery)
+        current.granted = 0;
     const auto queries = m_queries.find(usage.name);
     if (queries != m_queries.end())
         queries->second.erase(node);
     const double all = requested + usage.requested;
+    const double recentlyStarted = all > 0 ? requestedOfRecentlyStarted / all : 0;
+    const double percent = 100 * (1 - recentlyStarted * (1 - recentlyStartedLimitShare));
     return { usage.name, static_cast<std::uint32_t>(std::lround(admitted)),
-        static_cast<std::uint32_t>(std::lround(requested)), all > 0 ? requestedOfRecentlyStarted / all : 0 };
+        static_cast<std::uint32_t>(std::lround(requested)), static_cast<int>(percent) };
+}
+
+void QuotaAggregator::recordGrant(
+    const std::string& name, const InstanceName& node, std::uint32_t count, util::Time now)
+{
+    auto& report = m_reports[name][node];
+    report.granted += count;
+    report.grantedAt = now;
+}
+
+std::uint32_t QuotaAggregator::granted(const std::string& name, const InstanceName& node) const
+{
+    const auto nodes = m_reports.find(name);
+    if (nodes == m_reports.end())
+        return 0;
+    const auto found = nodes->second.find(node);
+    return found == nodes->second.end() ? 0 : found->second.granted;
+}
+
+double QuotaAggregator::unknownHistoryShare(const std::string& name, util::Time now) const
+{
+    double requested = 0;
+    double unknown = 0;
+    const auto nodes = m_reports.find(name);
+    if (nodes == m_reports.end())
+        return 0;
+    for (const auto& [node, report] : nodes->second) {
+        requested += report.usage.requested;
+        if (report.historyUnknown)
+            unknown += decayed(report.usage.requested, report.restartSeenAt, now);
+    }
+    return requested > 0 ? unknown / requested : 0;
+}
+
+double QuotaAggregator::unlimited(const std::string& name, util::Time now) const
+{
+    double sum = 0;
+    const auto nodes = m_reports.find(name);
+    if (nodes == m_reports.end())
+        return sum;
+    for (const auto& [node, report] : nodes->second)
+        sum += decayed(report.usage.unlimited, report.receivedAt, now, silentAfter);
+    return sum;
+}
+
+std::size_t QuotaAggregator::reportingNodes(const std::string& name, util::Time now) const
+{
+    const auto nodes = m_reports.find(name);
+    if (nodes == m_reports.end())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(nodes->second.begin(), nodes->second.end(),
+        [now](const auto& item) { return now - item.second.receivedAt <= silentAfter; }));
+}
+
+std::vector<std::string> QuotaAggregator::silentNodes(const std::string& name, util::Time now) const
+{
+    std::vector<std::string> silent;
+    const auto nodes = m_reports.find(name);
+    if (nodes == m_reports.end())
+        return silent;
+    for (const auto& [node, report] : nodes->second) {
+        if (now - report.receivedAt > silentAfter)
+            silent.push_back(node.text);
+    }
+    return silent;
 }
 
 std::vector<InstanceName> QuotaAggregator::nodesToQuery(
--- a/tarragonhaven/request_context.h
+++ b/tarragonhaven/request_context.h
@@ -38,6 +38,8 @@
     bool bypassesBreaker = false;
     // Recognises the request if it is sent again.
     RequestFingerprint fingerprint;
+    // Whether an earlier attempt of the request has reached a target, or may reach one at the same time.
+    bool repeat = false;
     // The limit of the target in requests per second, as the entry node learned it, if it knows one. A guard
     // that has just started uses it until its target responds.
     std::optional<double> knownTargetLimit;
--- a/tarragonhaven/retry_budget.h
+++ b/tarragonhaven/retry_budget.h
@@ -14,6 +14,9 @@
         m_available = std::min(maximumAvailable, m_available + sharePerFirstAttempt);
     }
 
+    // Takes one retry from the budget, if there is one, for a repeat that is not refused.
+    void recordNestedRepeat() { m_available = std::max(0.0, m_available - 1); }
+
     // Takes one retry from the budget. Returns false if the budget is spent.
     bool tryAcquireRetry()
     {
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -168,7 +168,10 @@
 
 void SidecarTraffic::stop()
 {
-    m_thread.stop([this] { m_callers.closeAll(); });
+    m_thread.stop([this] {
+        m_callers.closeAll();
+        m_admission.abandonWaiting();
+    });
 }
 
 ValueFrame SidecarTraffic::value(const std::string& name) { return { name, false, 0, "" }; }
--- a/tarragonhaven/testing/guard_test.cc
+++ b/tarragonhaven/testing/guard_test.cc
@@ -91,3 +91,26 @@
         CHECK_FALSE(isLeaving());
     }
 }
+
+// Guards against nested requests of repeated runs that raise the retry limit of the service which they call.
+TEST_CASE("as many nested requests count as repeats as the share of repeats among the present runs")
+{
+    boost::asio::io_context io;
+    Guard guard(io, { "i1" }, 1);
+    guard.apply(directoryWith({ makeTarget(100) }));
+    const auto target = guard.find({ "t1" });
+    const auto countRepeats = [&guard] {
+        int repeats = 0;
+        for (int i = 0; i < 40; ++i)
+            repeats += guard.takeNestedRepeat() ? 1 : 0;
+        return repeats;
+    };
+    CHECK(countRepeats() == 0);
+    target->recordSent(1, true);
+    CHECK(countRepeats() == 40);
+    for (const std::uint64_t ticket : { 2, 3, 4 })
+        target->recordSent(ticket, false);
+    CHECK(countRepeats() == 10);
+    target->recordResult(1, TargetResult::Success);
+    CHECK(countRepeats() == 0);
+}
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -136,12 +136,12 @@
             "quota_waiting", "Requests that wait for a report of remote usage.", quota.waitingRequests());
         for (const auto& [service, counts] : quota.retryCounts()) {
             page.counter("retries_granted_total", "Retries that the fleet-wide retry limit allowed.",
-                static_cast<double>(counts.granted), { { "service", service.text } });
+                static_cast<double>(counts.granted), { { "service", service } });
             page.counter("retries_denied_total", "Retries that the fleet-wide retry limit did not allow.",
-                static_cast<double>(counts.denied), { { "service", service.text } });
+                static_cast<double>(counts.denied), { { "service", service } });
             page.gauge("retries_left",
                 "Retries that remained within the fleet-wide retry limit at the latest query.",
-                counts.remaining, { { "service", service.text } });
+                counts.remaining, { { "service", service } });
         }
     }
 
--- a/tarragonhaven/window_quota.cc
+++ b/tarragonhaven/window_quota.cc
@@ -3,19 +3,14 @@
 
 #include "tarragonhaven/window_quota.h"
 
+#include "tarragonhaven/quota_aggregator.h"
+
 #include <algorithm>
 
 namespace tarragonhaven {
 
 namespace {
 
-    // Nothing is refused below this share of the limit. A fleet with five times the limit in requests uses up
-    // the rest of the bound (1.25 times the limit by default) in a tenth of the window, which is longer than
-    // two reports take.
-    constexpr double farBelowShare = 0.75;
-    // The share of the limit that is admitted while all nodes are recently started. The rest may have been
-    // admitted before they started, which they do not know.
-    constexpr double recentlyStartedLimitShare = 0.35;
     // The share of the bound that is divided evenly among nodes that do not hear from each other.
     constexpr double evenlyDividedShare = 0.85;
     // From this share of the limit on, nodes without a recent report are queried. At five times the limit in
@@ -40,6 +35,10 @@
         return "beyond-share";
     case QuotaReason::Unsure:
         return "unsure";
+    case QuotaReason::Granted:
+        return "granted";
+    case QuotaReason::Denied:
+        return "denied";
     case QuotaReason::WithinEvenPart:
         return "within-even-part";
     case QuotaReason::BeyondEvenPart:
@@ -63,16 +62,58 @@
 
 QuotaDecision WindowQuota::decide(
     const std::string& name, double limit, std::size_t nodes, util::Time now, bool final)
+{
+    // A recently started node does not know what it admitted before.
+    const double startupFactor = recentlyStarted(now) ? QuotaAggregator::recentlyStartedLimitShare : 1;
+    const double part = std::max(1.0, startupFactor * evenPart(limit, nodes));
+    return decide(name, QuotaLimit { limit, part }, now, final);
+}
+
+QuotaDecision WindowQuota::decide(
+    const std::string& name, const QuotaLimit& limit, util::Time now, bool final)
 {
     auto& usage = usageOf(name);
-    const auto decision = evaluate(usage, limit, nodes, now, final);
-    if (decision.admitted) {
-        usage.admitted.add(now);
-        ++usage.admittedSinceRemote;
-    }
+    const auto decision = evaluate(usage, limit, now, final);
+    if (decision.admitted)
+        recordAdmitted(usage, now);
     return decision;
 }
 
+// If admissions are granted, each has to be reported, since a request may be retried long after it was
+// recorded.
+void WindowQuota::recordAdmitted(NameUsage& usage, util::Time now) const
+{
+    usage.admitted.add(now);
+    ++usage.admittedSinceRemote;
+    if (!m_options.granted)
+        return;
+    usage.lastRequestedAt = now;
+    ++usage.unreportedRequests;
+}
+
+void WindowQuota::recordGranted(const std::string& name, util::Time now)
+{
+    recordAdmitted(usageOf(name), now);
+}
+
+void WindowQuota::recordUnlimited(const std::string& name, util::Time now)
+{
+    auto& usage = usageOf(name);
+    usage.unlimited.add(now);
+    recordAdmitted(usage, now);
+}
+
+double WindowQuota::localRequested(const std::string& name, util::Time now)
+{
+    return usageOf(name).requested.sum(now);
+}
+
+bool WindowQuota::knowsRemote(const std::string& name, util::Time now) const
+{
+    const auto found = m_usages.find(name);
+    return found != m_usages.end() && isRemoteUsable(found->second, now);
+}
+
 bool WindowQuota::isRemoteUsable(const NameUsage& usage, util::Time now) const
 {
     return usage.remote && now - usage.remoteReceivedAt <= m_options.remoteMaxAge;
@@ -85,31 +126,30 @@
 }
 
 QuotaDecision WindowQuota::evaluate(
-    NameUsage& usage, double limit, std::size_t nodes, util::Time now, bool final) const
+    NameUsage& usage, const QuotaLimit& limit, util::Time now, bool final) const
 {
     const auto local = usage.admitted.sum(now);
     const auto requested = usage.requested.sum(now);
     const auto age = now - usage.remoteReceivedAt;
     if (isRemoteUsable(usage, now)) {
         const auto& remote = *usage.remote;
-        const double effectiveLimit
-            = limit * (1 - remote.recentlyStartedShare * (1 - recentlyStartedLimitShare));
+        const double effectiveLimit = limit.total * remote.limitPercent / 100;
         const double estimatedGrowth = usage.admittedSinceRemote * static_cast<double>(remote.requested)
             / std::max<double>(1, requested);
-        if (local + remote.admitted + estimatedGrowth + 1 <= farBelowShare * effectiveLimit)
-            return { true, QuotaReason::FarBelow, local, remote.admitted, limit, age };
-        if (age <= m_options.exactMaxAge) {
+        if (local + remote.admitted + estimatedGrowth + 1 <= m_options.farBelowShare * effectiveLimit)
+            return { true, QuotaReason::FarBelow, local, remote.admitted, limit.total, age };
+        if (!m_options.granted && age <= m_options.exactMaxAge) {
             const double share
                 = static_cast<double>(requested) / std::max<double>(1, requested + remote.requested);
             const bool within = local < effectiveLimit * share
-                && local + remote.admitted + 1 <= limit + usableSlackShare * m_options.slack;
+                && local + remote.admitted + 1 <= limit.total + usableSlackShare * m_options.slack;
             return { within, within ? QuotaReason::WithinShare : QuotaReason::BeyondShare, local,
-                remote.admitted, limit, age };
+                remote.admitted, limit.total, age };
         }
     }
     if (!final)
-        return { false, QuotaReason::Unsure, local, 0, limit, age };
-    return evaluateWithoutRemote(usage, limit, nodes, now);
+        return { false, QuotaReason::Unsure, local, 0, limit.total, age };
+    return evaluateWithoutRemote(usage, limit, now);
 }
 
 double WindowQuota::evenPart(double limit, std::size_t nodes) const
@@ -120,13 +160,14 @@
 
 QuotaUsage WindowQuota::makeReport(const std::string& name, NameUsage& usage, util::Time now) const
 {
-    return { name, usage.admitted.sum(now), usage.requested.sum(now), recentlyStarted(now) };
+    return { name, usage.admitted.sum(now), usage.requested.sum(now), recentlyStarted(now), {},
+        usage.unlimited.sum(now) };
 }
 
 QuotaUsage WindowQuota::localUsage(const std::string& name, util::Time now)
 {
     const auto found = m_usages.find(name);
-    return found == m_usages.end() ? QuotaUsage { name, 0, 0, recentlyStarted(now) }
+    return found == m_usages.end() ? QuotaUsage { name, 0, 0, recentlyStarted(now), {}, 0 }
                                    : makeReport(name, found->second, now);
 }
 
@@ -140,14 +181,12 @@
 }
 
 QuotaDecision WindowQuota::evaluateWithoutRemote(
-    NameUsage& usage, double limit, std::size_t nodes, util::Time now) const
+    NameUsage& usage, const QuotaLimit& limit, util::Time now) const
 {
-    const double startupFactor = recentlyStarted(now) ? recentlyStartedLimitShare : 1;
-    const double part = startupFactor * evenPart(limit, nodes);
     const auto local = usage.admitted.sum(now);
-    const bool within = local + 1 <= std::max(1.0, part);
-    return { within, within ? QuotaReason::WithinEvenPart : QuotaReason::BeyondEvenPart, local, 0, limit,
-        now - usage.remoteReceivedAt };
+    const bool within = local + 1 <= limit.isolated;
+    return { within, within ? QuotaReason::WithinEvenPart : QuotaReason::BeyondEvenPart, local, 0,
+        limit.total, now - usage.remoteReceivedAt };
 }
 
 void WindowQuota::updateRemote(const RemoteQuotaUsage& remote, util::Time now)
--- a/tarragonhaven/window_quota.h
+++ b/tarragonhaven/window_quota.h
@@ -30,6 +30,22 @@
     util::Duration busyReportInterval = std::chrono::milliseconds(250);
     int busyReportRequests = 2;
     util::Duration idleReportInterval = std::chrono::seconds(1);
+    // Nothing is refused below this share of the limit. A fleet with five times the limit in requests uses up
+    // the rest of the bound (1.25 times the limit by default) in a tenth of the window, which is longer than
+    // two reports take.
+    double farBelowShare = 0.75;
+    // Whether the aggregator grants each admission beyond that share. Otherwise the node admits its own share
+    // of the limit.
+    bool granted = false;
+};
+
+// A limit over all nodes, and the part of it that a node may admit which cannot obtain remote usage.
+struct QuotaLimit {
+    double total = 0;
+    double isolated = 0;
+
+    friend auto operator<=>(const QuotaLimit&, const QuotaLimit&) = default;
+    friend bool operator==(const QuotaLimit&, const QuotaLimit&) = default;
 };
 
 // Why an admission was granted or refused.
@@ -43,6 +59,9 @@
     // Remote usage is unknown or too old to decide: report this name to its aggregator at once, and decide
     // again when the reply has arrived or is overdue.
     Unsure,
+    // The aggregator granted or denied the admission.
+    Granted,
+    Denied,
     // Remote usage cannot be obtained: within or beyond this node's even part of the bound.
     WithinEvenPart,
     BeyondEvenPart,
@@ -92,6 +111,14 @@
     // may admit. If `final` is set, the node decides with what it knows and never returns Unsure.
     QuotaDecision decide(
         const std::string& name, double limit, std::size_t nodes, util::Time now, bool final);
+    QuotaDecision decide(const std::string& name, const QuotaLimit& limit, util::Time now, bool final);
+    // Counts an admission that the aggregator granted, or one that no limit prevents.
+    void recordGranted(const std::string& name, util::Time now);
+    void recordUnlimited(const std::string& name, util::Time now);
+    // Returns what was requested of this node in the window.
+    double localRequested(const std::string& name, util::Time now);
+    // Returns whether the sum over the other nodes is known and recent.
+    [[nodiscard]] bool knowsRemote(const std::string& name, util::Time now) const;
     // Returns what was requested of all nodes in the window, as far as this node knows.
     double fleetRequested(const std::string& name, util::Time now);
     // Returns what this node admitted under a name in the window, and what was requested of it.
@@ -116,10 +143,12 @@
         explicit NameUsage(util::Duration window)
             : admitted(window)
             , requested(window)
+            , unlimited(window)
         {
         }
         SlidingWindowCounter admitted;
         SlidingWindowCounter requested;
+        SlidingWindowCounter unlimited;
         std::optional<RemoteQuotaUsage> remote;
         util::Time remoteReceivedAt {};
         util::Time lastRequestedAt {};
@@ -129,6 +158,7 @@
     };
 
     NameUsage& usageOf(const std::string& name);
+    void recordAdmitted(NameUsage& usage, util::Time now) const;
     // Returns whether the node has run for less than the window.
     [[nodiscard]] bool recentlyStarted(util::Time now) const { return now - m_started < m_options.window; }
     [[nodiscard]] QuotaUsage makeReport(const std::string& name, NameUsage& usage, util::Time now) const;
@@ -136,12 +166,12 @@
     [[nodiscard]] bool isRemoteUsable(const NameUsage& usage, util::Time now) const;
     // Decides without counting the admission.
     [[nodiscard]] QuotaDecision evaluate(
-        NameUsage& usage, double limit, std::size_t nodes, util::Time now, bool final) const;
+        NameUsage& usage, const QuotaLimit& limit, util::Time now, bool final) const;
     // Returns the part of the bound that a node without remote usage may admit in a window.
     [[nodiscard]] double evenPart(double limit, std::size_t nodes) const;
-    // Decides by the even part alone. Always final.
+    // Decides by the isolated part alone. Always final.
     [[nodiscard]] QuotaDecision evaluateWithoutRemote(
-        NameUsage& usage, double limit, std::size_t nodes, util::Time now) const;
+        NameUsage& usage, const QuotaLimit& limit, util::Time now) const;
 
     QuotaOptions m_options;
     util::Time m_started;
