Use recovered targets sooner, and keep requests off suspect targets

Cause: the breaker waited for the responses of two probes, two service times, before it closed. A request with five full queues passed breakers. A link to a dead node was awaited for the whole connect timeout.

Change: a probe that has waited four times as long as recent failures took (40 ms at least) counts as successful; while one is at the target, refusals state the remaining time. A breaker is passed only if no healthy target has refused the request for lack of room. A request waits 120 ms for a new link; the link is completed for later requests.

Ruled out: shorter opening times alone, which cost callers a failed probe each.

--- a/tarragonhaven/attempt_planner.h
+++ b/tarragonhaven/attempt_planner.h
@@ -15,9 +15,10 @@
 // that are not known to be full, in the own data centre first. They end early once enough targets in other
 // data centres had no free slot, because each such attempt carries the head of the request there. Then the
 // request queues at the target where the wait seems the shortest. If that queue and the next ones are too
-// long for the request, it cannot be served in time elsewhere either and is refused; an idempotent
-// request is sent to targets whose breakers hold back requests, if the options allow it. Other requests are
-// not, since they would only risk an outcome of "unknown".
+// long for the request, it cannot be served in time elsewhere either and is refused. If no target is healthy,
+// an idempotent request is sent to targets whose breakers hold back requests, if the options allow it. Other
+// requests are not, since they would only risk an outcome of "unknown", and neither is a request that healthy
+// targets are too busy for: it would select the worst target of the service.
 class AttemptPlanner {
 public:
     // Chooses among the targets of the service.
@@ -58,7 +59,8 @@
     [[nodiscard]] bool looksForFreeSlot() const;
     [[nodiscard]] bool mayBypassBreaker() const
     {
-        return m_options.bypassBreakerAsLastResort && m_idempotent;
+        return m_options.bypassBreakerAsLastResort && m_idempotent && m_fullQueues == 0
+            && m_targetsWithoutFreeSlot.empty();
     }
     [[nodiscard]] bool enoughQueuesFull() const;
 
--- a/tarragonhaven/guarded_target.cc
+++ b/tarragonhaven/guarded_target.cc
@@ -156,7 +156,7 @@
     }
     const auto request = m_inFlight.extract(ticket);
     if (!request.empty())
-        recordBreakerResult(TargetResult::NoEvidence, request.mapped().probe);
+        recordBreakerResult(TargetResult::NoEvidence, request.mapped());
     m_waiting.erase(ticket);
     m_queue.release(ticket);
     grantWaiting();
@@ -188,6 +188,7 @@
         refuse(ticket, { RefusalReason::QueueTimeout, RunState::NotRun, queueRetryAfter, "" });
     if (m_pacer || m_cold)
         grantWaiting();
+    recordSurvivingProbes(now);
     const auto oldest = now - m_pushTrigger.overdueAge();
     for (auto& [ticket, request] : m_inFlight) {
         if (request.overdue || request.sentAt >= oldest)
@@ -199,6 +200,18 @@
     refuseWaitingWhenOpen();
 }
 
+void GuardedTarget::recordSurvivingProbes(util::Time now)
+{
+    if (!m_breaker)
+        return;
+    for (auto& [ticket, request] : m_inFlight) {
+        if (!request.probe || request.survived || now - request.sentAt < m_breaker->survivalTime())
+            continue;
+        request.survived = true;
+        m_breaker->recordSurvival();
+    }
+}
+
 void GuardedTarget::refuseWaitingWhenOpen()
 {
     if (m_breaker && m_breaker->state(util::BootClock::now()) == TargetBreaker::State::Open)
@@ -314,7 +327,7 @@
     if (const auto grant = m_grants.find(ticket); grant != m_grants.end())
         grant->second.connected = true;
     const bool probe = m_breaker && m_breaker->recordSent();
-    m_inFlight.emplace(ticket, InFlightRequest { util::BootClock::now(), probe, false, repeat });
+    m_inFlight.emplace(ticket, InFlightRequest { util::BootClock::now(), probe, false, false, repeat });
 }
 
 double GuardedTarget::repeatShare() const
@@ -326,11 +339,16 @@
     return static_cast<double>(repeats) / static_cast<double>(m_inFlight.size());
 }
 
-void GuardedTarget::recordBreakerResult(TargetResult result, bool probe)
+void GuardedTarget::recordBreakerResult(TargetResult result, const InFlightRequest& request)
+{
+    recordBreakerResult(result, request.probe && !request.survived, util::BootClock::now() - request.sentAt);
+}
+
+void GuardedTarget::recordBreakerResult(TargetResult result, bool probe, util::Duration age)
 {
     if (!m_breaker)
         return;
-    m_breaker->recordResult(result, probe, util::BootClock::now());
+    m_breaker->recordResult(result, probe, util::BootClock::now(), age);
     refuseWaitingWhenOpen();
 }
 
@@ -338,7 +356,7 @@
 {
     const auto request = m_inFlight.extract(ticket);
     if (!request.empty())
-        recordBreakerResult(result, request.mapped().probe);
+        recordBreakerResult(result, request.mapped());
     if (result == TargetResult::HardFailure)
         recordConnectionLost(ticket);
     if (result == TargetResult::NoEvidence)
@@ -402,7 +420,7 @@
 
 void GuardedTarget::recordConnectFailure()
 {
-    recordBreakerResult(TargetResult::HardFailure, false);
+    recordBreakerResult(TargetResult::HardFailure, false, {});
     if (m_cold && !hasUsedConnection())
         m_cold->assume(ColdSource::ConnectionsLost, util::BootClock::now());
     ++m_report.failures;
--- a/tarragonhaven/guarded_target.h
+++ b/tarragonhaven/guarded_target.h
@@ -147,6 +147,8 @@
     struct InFlightRequest {
         util::Time sentAt {};
         bool probe = false;
+        // Whether the request was a probe that the breaker counts as successful already.
+        bool survived = false;
         bool overdue = false;
         bool repeat = false;
     };
@@ -177,7 +179,10 @@
     void refuse(std::uint64_t ticket, Refusal refusal);
     void grantWaiting();
     void onGranted(std::uint64_t ticket, util::Time now);
-    void recordBreakerResult(TargetResult result, bool probe);
+    void recordBreakerResult(TargetResult result, bool probe, util::Duration age);
+    void recordBreakerResult(TargetResult result, const InFlightRequest& request);
+    // Records the probes that have waited for their responses for long enough to count as successful.
+    void recordSurvivingProbes(util::Time now);
     // If the breaker is open, refuses the waiting requests that do not bypass it.
     void refuseWaitingWhenOpen();
     void refuseWaitingBecauseLeaving(const std::string& detail);
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -35,6 +35,9 @@
     constexpr double noSuccessPenalty = 0.5;
     constexpr util::Duration unresponsiveTimeout = std::chrono::seconds(3);
     constexpr util::Duration connectTimeout = std::chrono::milliseconds(500);
+    // Well above a round trip and the exchange of HelloFrames with a node in use. A request that waits for a
+    // dead or frozen node for the whole connect timeout, and for the next ones again, misses its objective.
+    constexpr util::Duration connectWait = std::chrono::milliseconds(120);
     constexpr util::Duration maximumTargetIdleTime = std::chrono::seconds(8);
     // How long callers are served after a stop begins. Callers notice the stop after two failed readiness
     // checks one second apart.
@@ -108,7 +111,7 @@
     , m_thread(tickInterval)
     , m_guard(m_thread.io(), m_dependencies.settings.instance, m_dependencies.localHello.incarnation,
           guardOptions())
-    , m_peers(m_thread.io(), m_dependencies.localHello, connectTimeout)
+    , m_peers(m_thread.io(), m_dependencies.localHello, { connectTimeout, connectWait })
     , m_socket(m_thread.io(), m_dependencies.settings.fleet, m_dependencies.settings.instance,
           m_dependencies.localHello.incarnation)
     , m_admission({ m_thread.io(), m_socket, m_dependencies.log, m_dependencies.settings.instance,
--- a/tarragonhaven/target_breaker.cc
+++ b/tarragonhaven/target_breaker.cc
@@ -24,7 +24,21 @@
 {
     const auto admittedFrom
         = m_openUntil + (idempotent ? util::Duration {} : m_options.nonIdempotentProbeDelay);
-    return m_closed || now >= admittedFrom ? util::Duration {} : admittedFrom - now;
+    const auto probeTime = m_probesInFlight > 0 ? survivalTime() : util::Duration {};
+    return m_closed ? util::Duration {} : std::max<util::Duration>(probeTime, admittedFrom - now);
+}
+
+util::Duration TargetBreaker::survivalTime() const
+{
+    return std::max(m_options.minimumSurvivalTime,
+        util::fromSeconds(m_options.survivalFactor * util::toSeconds(m_failureTime)));
+}
+
+void TargetBreaker::recordSurvival()
+{
+    --m_probesInFlight;
+    if (!m_closed)
+        countProbeSuccess();
 }
 
 bool TargetBreaker::recordSent()
@@ -33,16 +47,16 @@
     return !m_closed;
 }
 
-void TargetBreaker::recordResult(TargetResult result, bool probe, util::Time now)
+void TargetBreaker::recordResult(TargetResult result, bool probe, util::Time now, util::Duration age)
 {
     m_probesInFlight -= probe ? 1 : 0;
     switch (result) {
     case TargetResult::Success:
         return recordSuccess(probe);
     case TargetResult::SoftFailure:
-        return recordFailure(m_options.softFailureWeight, now);
+        return recordFailure(m_options.softFailureWeight, now, age);
     case TargetResult::HardFailure:
-        return recordFailure(m_options.hardFailureWeight, now);
+        return recordFailure(m_options.hardFailureWeight, now, age);
     case TargetResult::NoEvidence:
         return;
     }
@@ -52,19 +66,27 @@
 {
     if (m_closed) {
         m_score = std::max(0.0, m_score - m_options.successCredit);
+        m_openDuration = {};
         return;
     }
-    if (!probe || ++m_probeSuccesses < m_options.closingSuccesses)
+    if (probe)
+        countProbeSuccess();
+}
+
+// The duration for which the breaker opens next is reset by the first response, not by surviving probes.
+void TargetBreaker::countProbeSuccess()
+{
+    if (++m_probeSuccesses < m_options.closingSuccesses)
         return;
     m_closed = true;
     m_score = 0;
-    m_openDuration = {};
 }
 
 // While the breaker is open, failures of requests that were sent before it opened are no new evidence, so
 // they do not extend the time for which it stays open.
-void TargetBreaker::recordFailure(double weight, util::Time now)
+void TargetBreaker::recordFailure(double weight, util::Time now, util::Duration age)
 {
+    m_failureTime = std::max(age, m_failureTime / 2);
     m_score = std::min(1.0, m_score + weight);
     m_probeSuccesses = 0;
     if (state(now) == State::Open)
--- a/tarragonhaven/testing/target_breaker_test.cc
+++ b/tarragonhaven/testing/target_breaker_test.cc
@@ -100,3 +100,104 @@
         }
     }
 }
+
+// Guards against a healthy target that is not used for two whole service times after its recovery, because
+// the breaker waits for the responses of its probes.
+TEST_CASE("probes that outlive recent failures close the breaker before their responses arrive")
+{
+    TargetBreaker breaker;
+    breaker.recordResult(
+        TargetResult::HardFailure, breaker.recordSent(), at(0), std::chrono::milliseconds(5));
+    CHECK(breaker.survivalTime() == std::chrono::milliseconds(40));
+    CHECK(breaker.recordSent());
+    CHECK_FALSE(breaker.admits(true, at(300)));
+    CHECK(breaker.timeUntilAdmitted(true, at(300)) == std::chrono::milliseconds(40));
+    breaker.recordSurvival();
+    CHECK(breaker.admits(true, at(340)));
+    CHECK_FALSE(breaker.admits(false, at(340)));
+    CHECK(breaker.recordSent());
+    breaker.recordSurvival();
+    CHECK(breaker.state(at(380)) == TargetBreaker::State::Closed);
+    breaker.recordResult(TargetResult::Success, false, at(1300), std::chrono::seconds(1));
+    CHECK(breaker.state(at(1300)) == TargetBreaker::State::Closed);
+}
+
+TEST_CASE("a target that fails after its probes have survived is held back for longer each time")
+{
+    TargetBreaker breaker;
+    int now = 0;
+    int before = 0;
+    for (int i = 0; i < 4; ++i) {
+        const bool probe = breaker.recordSent();
+        breaker.recordResult(TargetResult::HardFailure, probe, at(now), std::chrono::milliseconds(5));
+        const auto open = breaker.timeUntilAdmitted(true, at(now));
+        const int ms = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(open).count());
+        CHECK(ms > before);
+        before = ms;
+        now += ms;
+        for (int probes = 0; probes < 2; ++probes) {
+            CHECK(breaker.recordSent());
+            now += 40;
+            breaker.recordSurvival();
+        }
+        CHECK(breaker.state(at(now)) == TargetBreaker::State::Closed);
+    }
+}
+
+// Guards against a target that hangs and is taken for healthy, since its probes do not fail at once.
+TEST_CASE("a probe at a target that fails late has to wait for as long as failures take")
+{
+    TargetBreaker breaker;
+    for (int i = 0; i < 3; ++i)
+        breaker.recordResult(
+            TargetResult::SoftFailure, breaker.recordSent(), at(i), std::chrono::milliseconds(900));
+    CHECK(breaker.state(at(3)) == TargetBreaker::State::Open);
+    CHECK(breaker.survivalTime() == std::chrono::milliseconds(3600));
+    breaker.recordResult(TargetResult::HardFailure, false, at(10), std::chrono::milliseconds(2));
+    CHECK(breaker.survivalTime() == std::chrono::milliseconds(1800));
+}
+
+// The load: a target with a service time of 1 s that fails 85% of its requests after 2 ms, for 9 s of
+// every 30.
+TEST_CASE("a breaker finds a recovered target within two opening times and admits few failures")
+{
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        std::uniform_real_distribution<double> share(0, 1);
+        TargetBreaker breaker;
+        struct InFlight {
+            int sentAt;
+            int endsAt;
+            bool probe;
+            TargetResult result;
+        };
+        std::vector<InFlight> requests;
+        int failures = 0;
+        int heldBackWhileHealthy = 0;
+        for (int now = 0; now < 30'000; now += 5) {
+            const bool sick = now < 9'000;
+            if (breaker.admits(true, at(now)) && requests.size() < 5 && share(random) < 0.1) {
+                const bool fails = sick && share(random) < 0.85;
+                failures += fails ? 1 : 0;
+                requests.push_back({ now, now + (fails ? 2 : 1000), breaker.recordSent(),
+                    fails ? TargetResult::HardFailure : TargetResult::Success });
+            }
+            for (auto& request : requests) {
+                const auto age = std::chrono::milliseconds(now - request.sentAt);
+                if (request.endsAt <= now)
+                    breaker.recordResult(request.result, request.probe, at(now), age);
+                else if (request.probe && age >= breaker.survivalTime()) {
+                    request.probe = false;
+                    breaker.recordSurvival();
+                }
+            }
+            std::erase_if(requests, [now](const InFlight& request) { return request.endsAt <= now; });
+            const bool closed = breaker.state(at(now)) == TargetBreaker::State::Closed;
+            heldBackWhileHealthy += !sick && !closed ? 5 : 0;
+        }
+        CHECK(heldBackWhileHealthy <= 2 * 1'600);
+        // Each opening costs one failure, and a fiftieth of them a second one.
+        CHECK(failures <= 20);
+    }
+}
