Add tests of client floods against the sidecar's own processes

What callers saw: callers that nobody controls can fill the memory of a node or take all of its descriptors, so that the process ends and ordinary callers are refused. No test of whole processes showed it.

Change: tests that start tarragonhaven_sidecar on loopback with low limits and flood it with 60 callers (1,000 for the patterns that cost a caller little) at a path with a route, one without, the readiness path, the peers' port and the metrics port: bodies that stop short of their end, bodies over the limit, heads of very many short fields, requests sent ahead, slow and half-sent heads, bodies and reads, frames that stop short, and more connections than descriptors. Each checks that the processes live, that peak memory and open descriptors stay under bounds, and that an ordinary request is answered afterwards. One checks that memory returns to the level before. The bounds come from the requirements: 160 MB for a machine, 40 MB for 60 callers, 200 of 4,100 descriptors reserved. SpawnedProcess tells its process id, and the tests depend on the sidecar program.

Ruled out: a bound for each connection, since the requirements have none; times and shares of served requests, since they depend on the machine. Requests of a flood have an id each, since a target of the platform repeats it, and without it the response counts as badly framed.

--- a/tarragonhaven/testing/spawned_process.h
+++ b/tarragonhaven/testing/spawned_process.h
@@ -19,6 +19,8 @@
     SpawnedProcess(const SpawnedProcess&) = delete;
     SpawnedProcess& operator=(const SpawnedProcess&) = delete;
 
+    // Returns the process id, also after the process has ended.
+    [[nodiscard]] pid_t pid() const { return m_pid; }
     // Sends a signal. Does nothing if the process has ended.
     void sendSignal(int signalNumber);
     // Returns the exit status as a shell reports it: the exit code, or 128 plus the number of the signal that
