Make targets cold in the soak

What callers saw: nothing; the services of the soak stated nothing of cold targets, so that nothing checked the pace of requests to them by real processes.

Targets are cold at their start, after each crash, after restarts that nothing announces (a schedule of its own), and for 4 to 6 s as only their record and health path tell.

--- a/tarragonhaven/testing/fake_target.cc
+++ b/tarragonhaven/testing/fake_target.cc
@@ -1,21 +1,17 @@
 #include "tarragonhaven/testing/fake_target.h"
 
-#include "tarragonhaven/listener.h"
-#include "util/time.h"
+#include "tarragonhaven/testing/fake_target_rep.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <mutex>
 #include <nlohmann/json.hpp>
-#include <random>
-#include <set>
 #include <sstream>
 #include <stdexcept>
-#include <thread>
 
 namespace tarragonhaven::testing {
 
@@ -33,115 +29,6 @@
 
 } // namespace
 
-class FakeTarget::Rep {
-public:
-    Rep(std::string targetName, const Endpoint& address, HeaderNames names)
-        : name(std::move(targetName))
-        , headerNames(std::move(names))
-        , endpoint(address)
-        , listener(std::make_unique<Listener>(io, [this](tcp::socket socket) { accept(std::move(socket)); }))
-        , restartTimer(io)
-        , startTime(util::BootClock::now())
-    {
-        const auto error = listener->open(address);
-        if (!error.empty())
-            throw std::runtime_error("fake target cannot start: " + error);
-        thread = std::thread([this] {
-            const auto work = asio::make_work_guard(io);
-            io.run();
-        });
-    }
-
-    ~Rep()
-    {
-        io.stop();
-        thread.join();
-        // Sessions that the io_context still owns access this object in their destructors, so they must be
-        // destroyed first: closing their sockets makes their handlers run in poll().
-        const auto closers = sessionClosers;
-        for (const auto& closer : closers)
-            closer.second();
-        restartTimer.cancel();
-        io.restart();
-        io.poll();
-    }
-
-    void accept(tcp::socket socket);
-    void acceptControl(tcp::socket socket);
-
-    // Closes the listener and all connections, and listens again after crashMs.
-    void crash()
-    {
-        listener->close();
-        const auto closers = sessionClosers;
-        for (const auto& closer : closers)
-            closer.second();
-        double downtimeMs = 0;
-        {
-            const std::lock_guard lock(mutex);
-            ++stats.crashes;
-            downtimeMs = plan.crashMs;
-        }
-        restartTimer.expires_after(std::chrono::microseconds(static_cast<long>(downtimeMs * 1000)));
-        restartTimer.async_wait([this](error_code error) {
-            if (error)
-                return;
-            startTime = util::BootClock::now();
-            listener
-                = std::make_unique<Listener>(io, [this](tcp::socket socket) { accept(std::move(socket)); });
-            listener->open(endpoint);
-        });
-    }
-
-    // Returns a random number from 0 to 1.
-    double drawFraction() { return std::uniform_real_distribution<double>(0, 1)(random); }
-
-    // Returns whether the plan closes connections now: always, or in every second flap period.
-    [[nodiscard]] bool isDropping(const FaultPlan& activePlan) const
-    {
-        if (activePlan.dropAll || activePlan.flapPeriodMs <= 0)
-            return activePlan.dropAll;
-        const auto uptimeMs = util::toSeconds(util::BootClock::now() - startTime) * 1000;
-        return static_cast<long>(uptimeMs / activePlan.flapPeriodMs) % 2 == 1;
-    }
-
-    [[nodiscard]] double serviceTimeMs(const FaultPlan& activePlan) const
-    {
-        const auto uptimeMs = util::toSeconds(util::BootClock::now() - startTime) * 1000;
-        const double coldStartFactor = uptimeMs < activePlan.coldMs ? activePlan.coldFactor : 1;
-        return activePlan.serviceMs * activePlan.slowFactor * coldStartFactor;
-    }
-
-    std::string statsJson()
-    {
-        const std::lock_guard lock(mutex);
-        nlohmann::json runs = nlohmann::json::object();
-        for (const auto& [key, count] : stats.runs)
-            runs[key] = count;
-        return nlohmann::json {
-            { "requests", stats.requests }, { "mostAtOnce", stats.maxConcurrentRequests },
-            { "crashes", stats.crashes }, { "runs", runs }
-        }.dump();
-    }
-
-    std::string name;
-    HeaderNames headerNames;
-    Endpoint endpoint;
-    asio::io_context io;
-    std::unique_ptr<Listener> listener;
-    std::unique_ptr<Listener> controlListener;
-    asio::steady_timer restartTimer;
-    util::Time startTime;
-    std::mt19937_64 random { 1 };
-    std::map<void*, std::function<void()>> sessionClosers;
-    int concurrentRequests = 0;
-    std::mutex mutex;
-    FaultPlan plan;
-    TargetNotice notice;
-    TargetStats stats;
-    std::thread thread;
-};
-
 namespace {
 
     // A connection from the guard node of the target, for any number of requests in sequence.
@@ -231,8 +118,10 @@
             const auto expectedTarget = field(m_rep.headerNames.expectedTarget);
             if (!expectedTarget.empty() && expectedTarget != m_rep.name)
                 return respond(http::status::misdirected_request, "another target\n");
-            const auto plan = recordRequest();
             const std::string path(m_parser->get().target());
+            if (path == "/health" && !m_rep.headerNames.coldRemaining.empty())
+                return handleHealth();
+            const auto plan = recordRequest();
             if (!plan.crashOnPath.empty() && path.find(plan.crashOnPath) != std::string::npos)
                 return m_rep.crash();
             if (m_rep.isDropping(plan))
@@ -253,6 +142,18 @@
             });
         }
 
+        // Responds to a health probe, unless the plan makes the target fail all requests or hang.
+        void handleHealth()
+        {
+            const auto plan = m_rep.currentPlan();
+            if (m_rep.isDropping(plan))
+                return close();
+            if (!plan.hang)
+                return respond(http::status::ok, "{}\n");
+            m_timer.expires_after(std::chrono::hours(1));
+            m_timer.async_wait([self = this->shared_from_this()](error_code) { self->close(); });
+        }
+
         // Responds at the end of the service time, with a fault if the plan's shares select one.
         void respondByPlan(const FaultPlan& plan)
         {
@@ -297,6 +198,9 @@
                 m_response->set(headerNames.requestId, field(headerNames.requestId));
             if (!headerNames.signature.empty())
                 m_response->set(headerNames.signature, m_rep.name);
+            if (!headerNames.coldRemaining.empty() && m_parser->get().target() == "/health")
+                m_response->set(headerNames.coldRemaining,
+                    absl::StrCat(static_cast<long>(m_rep.coldRemainingMs(m_rep.currentPlan()))));
             setNotices(status == http::status::misdirected_request);
         }
 
@@ -452,6 +356,17 @@
     m_rep->notice = notice;
 }
 
+void FakeTarget::restart(std::chrono::milliseconds downtime)
+{
+    asio::post(m_rep->io, [rep = m_rep.get(), downtime] { rep->restart(downtime); });
+}
+
+void FakeTarget::becomeCold(std::chrono::milliseconds duration)
+{
+    const std::lock_guard lock(m_rep->mutex);
+    m_rep->coldUntil = std::max(m_rep->coldUntil, util::BootClock::now() + duration);
+}
+
 TargetStats FakeTarget::stats() const
 {
     const std::lock_guard lock(m_rep->mutex);
--- a/tarragonhaven/testing/fake_target.h
+++ b/tarragonhaven/testing/fake_target.h
@@ -29,6 +29,8 @@
     std::map<std::string, int> runs;
     // The requests with a request id, in the order of arrival, whether or not they ran.
     std::vector<TargetArrival> arrivals;
+    // When the target started: at its creation and after each crash.
+    std::vector<std::chrono::steady_clock::time_point> starts;
     // The header lines of the requests, in the order of arrival, up to 20,000 lines. Tests search them for
     // fields that must not reach a target, such as API keys.
     std::vector<std::string> headerLines;
@@ -49,7 +51,8 @@
     // Throws std::runtime_error if it cannot listen on the address. Header names that are not empty have
     // these effects: `requestId` is repeated in the response, and runs are counted by it; `signature` is set
     // to the target's name; `requestLimit` and `leavingNotice` are set as setNotice() says; a request whose
-    // `expectedTarget` names another target gets status 421.
+    // `expectedTarget` names another target gets status 421; if `coldRemaining` is not empty, GET /health at
+    // the target's address states in this field how long the target remains cold, and is not counted.
     FakeTarget(std::string name, const Endpoint& address, HeaderNames headerNames = {});
     ~FakeTarget();
     FakeTarget(const FakeTarget&) = delete;
@@ -60,6 +63,10 @@
     void setPlan(const FaultPlan& plan);
     // Sets what every response announces from now on; a new target announces nothing.
     void setNotice(const TargetNotice& notice);
+    // Closes all connections and starts again after `downtime`.
+    void restart(std::chrono::milliseconds downtime);
+    // Makes the target cold for a time, as its plan describes, without a start.
+    void becomeCold(std::chrono::milliseconds duration);
     [[nodiscard]] TargetStats stats() const;
 
 private:
