Plan the share of requests that spill over to other data centres

The choice looked at single targets only and had no notion of what a data centre lacks.

Later attempts avoid data centres that lack capacity. Without fresh knowledge, or without the flag, the choice of targets is as before. Attempts and bytes are counted by pair of data centres, and each change of shares is one log line with its inputs.

Ruled out: counting placed requests as sent without those that retries diverted (shares twice the lack), and a controller that ignores how long requests run (overshoots).

It works because the plan follows the demand of a whole data centre, and large bodies stay where their price exceeds the wait that leaving saves.

--- a/tarragonhaven/attempt_planner.cc
+++ b/tarragonhaven/attempt_planner.cc
@@ -27,6 +27,9 @@
     ChoiceRequest request { m_idempotent, m_failedTargets, m_options.spilloverLoad };
     request.noSuccessPenalty = m_idempotent ? 0 : m_options.noSuccessPenalty;
     request.excluded.insert(m_suspectTargets.begin(), m_suspectTargets.end());
+    if (m_attempts == 0)
+        request.dataCentre = m_placement.first;
+    request.avoidedDataCentres = m_placement.avoided;
     return request;
 }
 
--- a/tarragonhaven/attempt_planner.h
+++ b/tarragonhaven/attempt_planner.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/entry_options.h"
 #include "tarragonhaven/refusal.h"
+#include "tarragonhaven/spillover/spill_placement.h"
 #include "tarragonhaven/target_chooser.h"
 
 #include <functional>
@@ -18,6 +19,9 @@
 // long for the request, it cannot be served in time elsewhere either and is refused; an idempotent
 // request is sent to targets whose breakers hold back requests, if the options allow it. Other requests are
 // not, since they would only risk an outcome of "unknown".
+//
+// With a placement, the first attempt is made in the data centre that it names, if a target there may be
+// used, and later attempts leave out the data centres that lack capacity, unless no other target may be used.
 class AttemptPlanner {
 public:
     // Chooses among the targets of the service.
@@ -35,6 +39,9 @@
     {
     }
 
+    // Sets the data centre of the first attempt, and those that later attempts avoid.
+    [[nodiscard]] const SpillPlacement& placement() const { return m_placement; }
+    void setPlacement(SpillPlacement placement) { m_placement = std::move(placement); }
     // Returns the next attempt. Its choice has no target if none may be used.
     [[nodiscard]] Attempt next(const Choose& choose) const;
     // Records that an attempt was made. `remote` says whether the target is in another data centre.
@@ -64,6 +71,7 @@
 
     const EntryOptions& m_options;
     bool m_idempotent;
+    SpillPlacement m_placement;
     int m_attempts = 0;
     std::set<TargetName> m_attempted;
     std::set<TargetName> m_remoteTargets;
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -1,6 +1,7 @@
 #include "tarragonhaven/entry.h"
 
 #include "tarragonhaven/http_fields.h"
+#include "tarragonhaven/spillover/spill_log.h"
 #include "util/sha256.h"
 #include "util/text.h"
 
@@ -32,6 +33,7 @@
 
 Entry::Entry(Dependencies dependencies)
     : m_dependencies(std::move(dependencies))
+    , m_spillOver(m_dependencies.dataCentre, m_dependencies.options.spill)
     , m_requestIds(m_dependencies.self.text, m_dependencies.incarnation)
     , m_random(m_dependencies.incarnation)
 {
@@ -98,6 +100,7 @@
         for (const auto& decision : service.evaluate(now))
             logEjection(name, decision);
     }
+    updateSpillOver(now);
 }
 
 void Entry::logEjection(const ServiceName& service, const EjectionDecision& decision)
@@ -289,17 +292,8 @@
     if (!health)
         return { nullptr, {}, "service not declared" };
     const auto now = util::BootClock::now();
-    auto views = health->views(now);
+    auto views = viewsOf(*health, now);
     std::erase_if(views, [&](const TargetView& view) { return !isAllowed(*view.target, regions); });
-    if (!m_notices.empty()) {
-        for (auto& view : views)
-            view.leaving = view.leaving || m_notices.find(*view.target).leaving;
-    }
-    if (!m_evacuationReports.empty()) {
-        for (auto& view : views)
-            view.leaving = view.leaving
-                || m_evacuationReports.isEvacuated(view.target->dataCentre, m_directory->asOf(), now);
-    }
     const auto distance = [this](const Target& target) { return distanceTo(target); };
     std::erase_if(m_avoided, [now](const auto& item) { return item.second <= now; });
     if (m_avoided.empty())
@@ -311,6 +305,42 @@
     return choice.target ? choice : chooseTarget(views, request, distance, m_random);
 }
 
+std::vector<TargetView> Entry::viewsOf(const ServiceHealth& health, util::Time now) const
+{
+    auto views = health.views(now);
+    if (!m_notices.empty()) {
+        for (auto& view : views)
+            view.leaving = view.leaving || m_notices.find(*view.target).leaving;
+    }
+    if (!m_evacuationReports.empty()) {
+        for (auto& view : views)
+            view.leaving = view.leaving
+                || m_evacuationReports.isEvacuated(view.target->dataCentre, m_directory->asOf(), now);
+    }
+    return views;
+}
+
+SpillPlacement Entry::place(const AcceptedRequest& request)
+{
+    return m_spillOver.place(
+        request.context, request.route.name, request.head, m_random, util::BootClock::now());
+}
+
+void Entry::updateSpillOver(util::Time now)
+{
+    std::set<TargetName> unreachable;
+    for (const auto& [target, until] : m_avoided) {
+        if (now < until)
+            unreachable.insert(target);
+    }
+    const auto views = [this, now](const ServiceName& service) {
+        const auto* health = this->health(service);
+        return health ? viewsOf(*health, now) : std::vector<TargetView> {};
+    };
+    for (const auto& change : m_spillOver.update(views, unreachable, now))
+        m_dependencies.log.write(LogLevel::Warning, "spill", logFieldsOf(change));
+}
+
 void Entry::avoid(const TargetName& target, util::Duration time)
 {
     auto& until = m_avoided[target];
--- a/tarragonhaven/entry.h
+++ b/tarragonhaven/entry.h
@@ -16,6 +16,7 @@
 #include "tarragonhaven/retry_limiter.h"
 #include "tarragonhaven/route_splitter.h"
 #include "tarragonhaven/service_health.h"
+#include "tarragonhaven/spillover/spill_over.h"
 #include "tarragonhaven/target_chooser.h"
 #include "tarragonhaven/target_notice_table.h"
 #include "tarragonhaven/traffic_metrics.h"
@@ -97,6 +98,9 @@
     // Chooses among the targets in the regions that the request may be sent to.
     TargetChoice choose(
         const ServiceName& service, ChoiceRequest request, const RegionRestriction& regions = {});
+    // Draws the data centre of the first attempt of a request, if there is a plan for its service.
+    SpillPlacement place(const AcceptedRequest& request);
+    [[nodiscard]] SpillOver& spillOver() { return m_spillOver; }
     // Returns whether a request may be sent to the target, and so to the node that guards it.
     [[nodiscard]] bool isAllowed(const Target& target, const RegionRestriction& regions) const;
     // Excludes a target from choices for `time`, unless no other target can be chosen.
@@ -144,6 +148,9 @@
 
     void recordOutstandingAges(util::Time now);
     void updateServices();
+    void updateSpillOver(util::Time now);
+    // Returns the views of a service's targets, with what is known of them beside the service's health.
+    [[nodiscard]] std::vector<TargetView> viewsOf(const ServiceHealth& health, util::Time now) const;
     [[nodiscard]] util::Time deadlineOf(const RequestHead& head, const Route& route) const;
     void dropReservedFields(RequestHead& head) const;
     [[nodiscard]] int rankOf(const Route& route, const Organisation* organisation) const;
@@ -171,6 +178,7 @@
     std::map<TargetName, ServiceName> m_serviceOfTarget;
     TargetNoticeTable m_notices;
     EvacuationReports m_evacuationReports;
+    SpillOver m_spillOver;
     LocalRetryLimiter m_localRetries;
     std::map<std::uint64_t, OutstandingRequest> m_outstanding;
     std::uint64_t m_lastOutstandingNumber = 0;
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -49,6 +49,13 @@
         return refusal.run != RunState::NotRun || refusal.reason == RefusalReason::TargetShed;
     }
 
+    // Returns whether a request was refused because the service has too few slots for all requests.
+    bool lacksCapacity(RefusalReason reason)
+    {
+        return reason == RefusalReason::NoFreeSlot || reason == RefusalReason::QueueFull
+            || reason == RefusalReason::QueueTimeout || reason == RefusalReason::NoTarget;
+    }
+
 } // namespace
 
 EntryExchange::EntryExchange(Entry& entry, AcceptedRequest request, std::shared_ptr<BodyBudget> budget)
@@ -92,6 +99,7 @@
             if (self->m_cancelled)
                 return self->settleAdmission(IdempotencyOutcome::NotRun, 0);
             self->recordRequest();
+            self->m_planner.setPlacement(self->m_entry.place(self->m_request));
             self->startAttempt(handler);
         });
 }
@@ -130,6 +138,8 @@
                         : choice.reason) })));
     }
     m_outstandingNumber = m_entry.addOutstanding(m_request.context.service, m_target);
+    const auto& dependencies = m_entry.dependencies();
+    dependencies.metrics.recordTransfer(dependencies.dataCentre, m_dataCentre);
     withAttempt([&](auto& attempt) {
         attempt.open([self = shared_from_this(), handler = std::move(handler)](
                          Outcome<void> opened) { self->onOpened(std::move(opened), handler); });
@@ -139,6 +149,9 @@
 bool EntryExchange::createAttempt(const Target& target)
 {
     m_target = target.name;
+    m_dataCentre = target.dataCentre;
+    m_attemptStarted = util::BootClock::now();
+    m_receivedBytes = 0;
     m_planner.recordAttempt(target.name, target.dataCentre != m_entry.dependencies().dataCentre);
     m_attempt = makeExchange(target, m_request.context);
     return !std::holds_alternative<std::monostate>(m_attempt);
@@ -233,6 +246,8 @@
 void EntryExchange::recordFailedAttempt(const Refusal& refusal, std::function<void(bool)> handler)
 {
     recordRefusal(m_target, refusal);
+    if (refusal.reason == RefusalReason::NoFreeSlot)
+        recordRoundTrip();
     if (reachedTarget(refusal))
         m_holdsRetry = false;
     const auto denialReason = retryDenialReason(refusal);
@@ -290,8 +305,12 @@
 
 void EntryExchange::onOpened(Outcome<void> opened, const OutcomeHandler<void>& handler)
 {
-    if (opened)
+    if (opened) {
+        // Without a body the request is sent ahead of its admission.
+        if (m_request.head.hasBody)
+            recordRoundTrip();
         return handler({});
+    }
     onAttemptEnded();
     recordFailedAttempt(
         opened.error(), [self = shared_from_this(), handler, refusal = opened.error()](bool retried) {
@@ -308,6 +327,8 @@
         refusal = *m_unknownOutcome;
     TARRAGONHAVEN_CHECK(refusal.run != RunState::NotRun || !m_unknownOutcome,
         "a refusal must not say \"not run\" if an earlier attempt may have run");
+    if (!m_settled && lacksCapacity(refusal.reason))
+        m_entry.spillOver().recordRefused(m_request.context.service, util::BootClock::now());
     settleAdmission(outcomeOf(refusal.run), 0);
     return refusal;
 }
@@ -324,9 +345,30 @@
         m_replayBody.append(chunk);
     else
         m_replayBody.clear();
+    recordSentBytes(m_dataCentre, chunk.data.size());
     withAttempt([&](auto& attempt) { attempt.writeBody(std::move(chunk), std::move(handler)); });
 }
 
+void EntryExchange::recordRoundTrip()
+{
+    const auto now = util::BootClock::now();
+    m_entry.spillOver().recordRoundTrip(m_dataCentre, now - m_attemptStarted, now);
+}
+
+void EntryExchange::recordSentBytes(const DataCentreName& dataCentre, std::size_t bytes)
+{
+    const auto& dependencies = m_entry.dependencies();
+    dependencies.metrics.recordTransferredBytes(dependencies.dataCentre, dataCentre, bytes);
+}
+
+void EntryExchange::recordReceived(const BodyChunk& chunk)
+{
+    recordSentBytes(m_dataCentre, chunk.data.size());
+    m_receivedBytes += chunk.data.size();
+    if (chunk.last)
+        m_entry.spillOver().recordResponse(m_request.route.name, m_receivedBytes);
+}
+
 void EntryExchange::readHead(OutcomeHandler<ResponseHead> handler)
 {
     if (m_cancelled)
@@ -383,7 +425,8 @@
     dependencies.metrics.recordHedge();
     m_hedgeStarted = true;
     m_planner.recordAttempt(choice.target->name, choice.target->dataCentre != dependencies.dataCentre);
-    m_hedge = Hedge { std::move(exchange), choice.target->name,
+    dependencies.metrics.recordTransfer(dependencies.dataCentre, choice.target->dataCentre);
+    m_hedge = Hedge { std::move(exchange), choice.target->name, choice.target->dataCentre,
         m_entry.addOutstanding(service, choice.target->name) };
     dependencies.log.write(LogLevel::Info, "hedge",
         { { "request", context.requestId }, { "target", m_hedge->target.text },
@@ -400,13 +443,15 @@
 void EntryExchange::sendHedge(std::size_t next, const OutcomeHandler<ResponseHead>& handler)
 {
     withExchange(m_hedge->exchange, [&](auto& attempt) {
-        if (next < m_replayBody.pieceCount())
+        if (next < m_replayBody.pieceCount()) {
+            recordSentBytes(m_hedge->dataCentre, m_replayBody.piece(next).data.size());
             return attempt.writeBody(m_replayBody.piece(next),
                 [self = shared_from_this(), next, handler](const Outcome<void>& written) {
                     if (!written)
                         return self->onHedgeFailed(written.error());
                     self->sendHedge(next + 1, handler);
                 });
+        }
         m_hedge->awaitsHead = true;
         attempt.readHead([self = shared_from_this(), handler](Outcome<ResponseHead> head) {
             self->onHedgeHeadRead(std::move(head), handler);
@@ -445,6 +490,8 @@
     withAttempt([](auto& attempt) { attempt.cancel(); });
     m_attempt = std::move(m_hedge->exchange);
     m_target = m_hedge->target;
+    m_dataCentre = m_hedge->dataCentre;
+    m_receivedBytes = 0;
     m_outstandingNumber = m_hedge->outstandingNumber;
     m_hedge.reset();
 }
@@ -484,6 +531,8 @@
     onAttemptEnded();
     if (!head)
         return onAttemptFailed(head.error(), handler);
+    if (auto* health = m_entry.health(m_request.context.service))
+        health->recordServed(m_target);
     const auto limit = m_entry.dependencies().options.bufferedResponseBytes;
     const bool fits = head->contentLength <= static_cast<std::int64_t>(limit)
         && m_budget->allows(static_cast<std::size_t>(std::max<std::int64_t>(0, head->contentLength)));
@@ -500,6 +549,7 @@
         attempt.readBody([self = shared_from_this(), head, handler](Outcome<BodyChunk> chunk) {
             if (!chunk)
                 return self->onAttemptFailed(chunk.error(), handler);
+            self->recordReceived(*chunk);
             auto& body = self->m_bufferedBody;
             body.append(std::move(*chunk));
             const bool mayReadMore
@@ -531,6 +581,8 @@
     m_responseReceived = !head.hasBody || m_bufferedBody.hasEnd();
     settleAdmission(IdempotencyOutcome::Completed, head.status);
     const auto& context = m_request.context;
+    m_entry.spillOver().recordServed(
+        context.service, m_planner.placement(), m_dataCentre, util::BootClock::now());
     const auto requestClass = context.rank == internalRequestRank ? RequestClass::FromTarget
         : context.idempotent                                      ? RequestClass::Idempotent
                                                                   : RequestClass::NotIdempotent;
@@ -571,6 +623,7 @@
 {
     if (next >= m_replayBody.pieceCount())
         return readHead(handler);
+    recordSentBytes(m_dataCentre, m_replayBody.piece(next).data.size());
     withAttempt([&](auto& attempt) {
         attempt.writeBody(m_replayBody.piece(next),
             [self = shared_from_this(), next, handler](const Outcome<void>& written) {
@@ -602,6 +655,8 @@
             attempt.readBody(
                 [self = shared_from_this(), handler = std::move(handler)](Outcome<BodyChunk> chunk) {
                     self->m_responseReceived = chunk && chunk->last;
+                    if (chunk)
+                        self->recordReceived(*chunk);
                     handler(std::move(chunk));
                 });
         });
--- a/tarragonhaven/entry_exchange.h
+++ b/tarragonhaven/entry_exchange.h
@@ -61,6 +61,7 @@
     struct Hedge {
         Attempt exchange;
         TargetName target;
+        DataCentreName dataCentre;
         std::uint64_t outstandingNumber = 0;
         // Whether the request has been sent completely and a response is awaited.
         bool awaitsHead = false;
@@ -110,6 +111,11 @@
     void finish(const Refusal& refusal, const OutcomeHandler<ResponseHead>& handler);
     Refusal finalRefusal(Refusal refusal);
     void onAttemptEnded();
+    // Records the time from the start of the attempt in progress as a round trip to its data centre.
+    void recordRoundTrip();
+    // Counts bytes that are exchanged with the data centre of a target.
+    void recordSentBytes(const DataCentreName& dataCentre, std::size_t bytes);
+    void recordReceived(const BodyChunk& chunk);
     void recordRequest();
     void returnUnusedRetry();
     void settleAdmission(IdempotencyOutcome outcome, int status);
@@ -123,6 +129,9 @@
     AcceptedRequest m_request;
     Attempt m_attempt;
     TargetName m_target;
+    DataCentreName m_dataCentre;
+    util::Time m_attemptStarted {};
+    std::size_t m_receivedBytes = 0;
     AttemptPlanner m_planner;
     // The number of targets that may have run the request.
     int m_possibleRuns = 0;
--- a/tarragonhaven/entry_options.h
+++ b/tarragonhaven/entry_options.h
@@ -3,6 +3,7 @@
 #include "tarragonhaven/evacuation/region_table.h"
 #include "tarragonhaven/header_names.h"
 #include "tarragonhaven/names.h"
+#include "tarragonhaven/spillover/spill_options.h"
 #include "tarragonhaven/target_ejection.h"
 
 #include <cstddef>
@@ -57,6 +58,7 @@
     EjectionOptions ejection;
     // The regions of data centres, for requests that may be sent to some regions only.
     RegionTable regions;
+    SpillOptions spill;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/service_health.cc
+++ b/tarragonhaven/service_health.cc
@@ -157,6 +157,7 @@
     if (!delta.fresh)
         return;
     state.sentSinceReport = 0;
+    state.servedSinceReport = 0;
     state.lastReport = now;
     m_evaluationNeeded = true;
     const bool comparableLatency
@@ -199,6 +200,13 @@
         found->second.inFlight = std::max(0, found->second.inFlight - 1);
 }
 
+void ServiceHealth::recordServed(const TargetName& target)
+{
+    const auto found = m_states.find(target);
+    if (found != m_states.end())
+        ++found->second.servedSinceReport;
+}
+
 void ServiceHealth::markLeaving(const std::set<InstanceName>& instances)
 {
     m_evaluationNeeded = true;
@@ -490,8 +498,13 @@
         view.load = static_cast<double>(std::max(reported, state.inFlight)) / state.target.slots;
         view.full = state.inFlight >= state.target.slots
             || (reported >= state.target.slots && now - state.lastReport <= fullRetention(state));
-        if (state.evidence.samples() >= minimumSamples)
+        if (state.lastReport != util::Time {})
+            view.reportAge = now - state.lastReport;
+        if (state.evidence.samples() >= minimumSamples) {
             view.slowdown = std::max(1.0, std::exp2(state.evidence.logLatency() - medianLogLatency));
+            view.holdSeconds = std::exp2(state.evidence.logLatency()) / microsecondsPerSecond;
+        }
+        view.servedSinceReport = state.servedSinceReport;
         view.secondsSinceSuccess = secondsSinceSuccess(state, now);
         view.blocksIdempotent
             = now < state.lastReport + std::chrono::milliseconds(report.idempotentBlockedMs);
--- a/tarragonhaven/service_health.h
+++ b/tarragonhaven/service_health.h
@@ -65,6 +65,13 @@
     // now.
     bool limited = false;
     bool cold = false;
+    // The time since the last report of its guard; the longest possible one without a report.
+    util::Duration reportAge = util::Duration::max();
+    // The typical time of a request at the target, in seconds; 0 if not known.
+    double holdSeconds = 0;
+    // Responses of the target to this node since its last report, or along with it. The report still counts
+    // their requests as running.
+    int servedSinceReport = 0;
 };
 
 // One node's view of the targets of one service: the evidence against each target, the ejection states, and
@@ -92,6 +99,8 @@
     // Record that this node sent a request to a target, and that such a request has ended.
     void recordSent(const TargetName& target);
     void recordCompleted(const TargetName& target);
+    // Records that the head of a response of the target has arrived.
+    void recordServed(const TargetName& target);
     // Marks the targets of `instances`, which are leaving or have left, and clears the mark of all others.
     void markLeaving(const std::set<InstanceName>& instances);
 
@@ -122,6 +131,7 @@
         TargetEjection ejection;
         bool leaving = false;
         int sentSinceReport = 0;
+        int servedSinceReport = 0;
         int inFlight = 0;
         util::Time lastReport {};
         // When the score reached `suspicionScore`; not set while it is below.
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -55,6 +55,10 @@
     "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
 ABSL_FLAG(double, pipeline_bytes, 4194304,
     "Limits: bytes of requests and responses held for one connection of a caller, 65536 to 67108864.");
+ABSL_FLAG(bool, spillover, false,
+    "Spill-over: whether the share of requests that other data centres get follows from the load of all.");
+ABSL_FLAG(double, spill_seconds_per_megabyte, 0.05,
+    "Spill-over: the wait in seconds that a megabyte sent to another data centre is worth, 0 to 1000.");
 
 namespace tarragonhaven {
 
@@ -84,7 +88,8 @@
             absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds),
             absl::GetFlag(FLAGS_evacuation_ms), absl::GetFlag(FLAGS_cold_overshoot),
             absl::GetFlag(FLAGS_cold_slack), absl::GetFlag(FLAGS_regions),
-            { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) } };
+            { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) },
+            { absl::GetFlag(FLAGS_spillover), absl::GetFlag(FLAGS_spill_seconds_per_megabyte) } };
     }
 
     util::Faults applyEnvironment()
@@ -95,7 +100,7 @@
                 "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
                 "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions",
-                "pipeline_requests", "pipeline_bytes" });
+                "pipeline_requests", "pipeline_bytes", "spillover", "spill_seconds_per_megabyte" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -65,6 +65,9 @@
     settings.logBudget = parseLogBudgetSettings(raw.logLinesPerSecond, raw.logBytesPerSecond, faults);
     settings.policy = readPolicy(raw, faults);
     settings.regions = parseRegionTable(raw.regions, "regions", faults);
+    // A thousand seconds for a megabyte keeps every body in its data centre.
+    requireRange(raw.spill.secondsPerMegabyte, 0, 1000, "spill_seconds_per_megabyte", faults);
+    settings.spill = raw.spill;
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -7,6 +7,7 @@
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
+#include "tarragonhaven/spillover/spill_options.h"
 #include "util/error.h"
 
 #include <optional>
@@ -35,6 +36,7 @@
     FleetPolicy policy;
     RegionTable regions;
     PipelineLimits pipeline;
+    SpillOptions spill;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -68,6 +70,7 @@
     std::string coldSlack;
     std::string regions;
     RawPipelineLimits pipeline;
+    SpillOptions spill;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -81,6 +81,7 @@
         options.prioritizeInternalRequests = true;
         options.ejection = ejectionOptions();
         options.regions = settings.regions;
+        options.spill = settings.spill;
         return options;
     }
 
--- a/tarragonhaven/target_chooser.cc
+++ b/tarragonhaven/target_chooser.cc
@@ -16,6 +16,27 @@
         / std::max(view.weight, chooser_detail::probationProbability);
 }
 
+namespace {
+
+    // Leaves out targets outside of the data centre where the request is to run, or else targets in data
+    // centres that it avoids, unless none would be left to queue at.
+    std::vector<const TargetView*> inPlannedDataCentres(
+        std::vector<const TargetView*> views, const ChoiceRequest& request)
+    {
+        const auto isOutside
+            = [&request](const TargetView* view) { return view->target->dataCentre != *request.dataCentre; };
+        const auto isAvoided = [&request](const TargetView* view) {
+            return request.avoidedDataCentres.contains(view->target->dataCentre);
+        };
+        if (request.dataCentre && !std::all_of(views.begin(), views.end(), isOutside))
+            std::erase_if(views, isOutside);
+        else if (request.freeSlotOnly || !std::all_of(views.begin(), views.end(), isAvoided))
+            std::erase_if(views, isAvoided);
+        return views;
+    }
+
+} // namespace
+
 namespace chooser_detail {
 
     std::vector<const TargetView*> usableTargets(
@@ -32,7 +53,7 @@
             if (trusted && !view.leaving && !request.excluded.contains(view.target->name))
                 result.push_back(&view);
         }
-        return result;
+        return inPlannedDataCentres(std::move(result), request);
     }
 
     std::vector<const TargetView*> nearestWithCapacity(const std::vector<const TargetView*>& views,
--- a/tarragonhaven/target_chooser.h
+++ b/tarragonhaven/target_chooser.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -51,6 +52,10 @@
     bool lowestCost = false;
     // The factor by which the cost of a target in another data centre is raised if the lowest cost decides.
     double remoteCostFactor = 1;
+    // Only targets in this data centre are used if any of them may be.
+    std::optional<DataCentreName> dataCentre;
+    // Targets in these data centres are used only if no other may be, and not for `freeSlotOnly`.
+    std::set<DataCentreName> avoidedDataCentres;
 };
 
 // Returns the cost of sending a request to a target.
--- a/tarragonhaven/testing/entry_test.cc
+++ b/tarragonhaven/testing/entry_test.cc
@@ -5,6 +5,7 @@
 #include "tarragonhaven/testing/local_fleet.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <set>
 
 namespace tarragonhaven::testing {
@@ -178,6 +179,41 @@
     }
 }
 
+// Guards against a plan that is made although it is not enabled, or that is not made from reports alone.
+TEST_CASE("an entry places first attempts by the load that guards report, if that is enabled")
+{
+    for (const bool enabled : { true, false }) {
+        auto options = sidecarOptions();
+        options.spill.enabled = enabled;
+        StandaloneEntry standalone(options);
+        auto& entry = standalone.entry;
+        const auto request = standalone.accept("/status/1", "harbour");
+        CHECK_FALSE(entry.place(request).first);
+        for (const auto& target : entry.directory()->targetsOf({ "status" })) {
+            TargetReport report { .incarnation = 1, .sequence = 1, .slots = target.slots };
+            // Averages need two reports.
+            entry.recordReport(target.name, report);
+            report.sequence = 2;
+            report.successes = 10;
+            report.logLatencySum = 10 * 18;
+            const bool own = target.dataCentre.text == "dc1";
+            report.slotsInUse = own ? target.slots : 0;
+            report.waiting = own ? target.slots : 0;
+            entry.recordReport(target.name, report);
+        }
+        entry.tick();
+        std::map<std::string, int> placed;
+        for (int i = 0; i < 200; ++i) {
+            const auto placement = entry.place(request);
+            ++placed[placement.first ? placement.first->text : ""];
+        }
+        CAPTURE(enabled, placed);
+        CHECK(placed[""] == (enabled ? 0 : 200));
+        CHECK((placed["dc2"] > 20) == enabled);
+        CHECK((placed["dc1"] > 20) == enabled);
+    }
+}
+
 TEST_CASE("the table of regions is parsed as far as it is valid, and unknown regions in lists are found")
 {
     util::Faults faults;
--- a/tarragonhaven/testing/metrics_test.cc
+++ b/tarragonhaven/testing/metrics_test.cc
@@ -52,6 +52,8 @@
     attempt.queueTime = std::chrono::milliseconds(20);
     attempt.timeToFirstByte = std::chrono::milliseconds(30);
     metrics.recordAttempt(attempt);
+    metrics.recordTransfer({ "a" }, { "b" });
+    metrics.recordTransferredBytes({ "a" }, { "b" }, 300);
     MetricsPage page;
     metrics.addTo(page);
     const auto seen = readExposition(page.text());
@@ -61,6 +63,8 @@
     CHECK(seen.values.at("tarragonhaven_refusals_total{reason=\"queue-full\"}") == 1);
     CHECK(seen.values.at("tarragonhaven_failed_tries_total{reason=\"target-failed\"}") == 1);
     CHECK(seen.values.at("tarragonhaven_ejection_events_total{event=\"ejected\"}") == 1);
+    CHECK(seen.values.at("tarragonhaven_transfers_total{from=\"a\",to=\"b\"}") == 1);
+    CHECK(seen.values.at("tarragonhaven_transferred_bytes_total{from=\"a\",to=\"b\"}") == 300);
     const std::string totalBucketPrefix
         = "tarragonhaven_stage_seconds_bucket{stage=\"answer\",class=\"idempotent\",le=";
     CHECK(seen.values.at(totalBucketPrefix + "\"+Inf\"}") == 5);
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -38,6 +38,7 @@
     CHECK_FALSE(parsed->metricsAddress);
     CHECK(parsed->policy.evacuationBound == std::chrono::seconds(5));
     CHECK(parsed->policy.coldPace == ColdPaceBound { 1.5, 8 });
+    CHECK_FALSE(parsed->spill.enabled);
     auto raw = validSettings();
     raw.service = "";
     raw.metricsAddress = "here";
@@ -51,6 +52,7 @@
     raw.coldSlack = "-1";
     raw.regions = "north";
     raw.pipeline = { 0, 1000 };
+    raw.spill.secondsPerMegabyte = -1;
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -59,5 +61,5 @@
     CHECK(faultPaths
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
             "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms", "cold_overshoot",
-            "cold_slack", "regions", "pipeline_requests", "pipeline_bytes" });
+            "cold_slack", "regions", "pipeline_requests", "pipeline_bytes", "spill_seconds_per_megabyte" });
 }
--- a/tarragonhaven/traffic_metrics.cc
+++ b/tarragonhaven/traffic_metrics.cc
@@ -111,9 +111,22 @@
         static_cast<double>(m_pipelinedDrops));
     page.gauge("connections", "Open connections from callers.", static_cast<double>(m_connections));
     addEventCounters(page);
+    addTransfers(page);
     addLatencies(page);
 }
 
+void TrafficMetrics::addTransfers(MetricsPage& page) const
+{
+    for (const auto& [pair, transfer] : m_transfers) {
+        const MetricsPage::Labels labels { { "from", pair.first.text }, { "to", pair.second.text } };
+        page.counter("transfers_total", "Attempts by the data centres of the entry and of the target.",
+            static_cast<double>(transfer.attempts), labels);
+        page.counter("transferred_bytes_total",
+            "Bytes of bodies by the data centres of the entry and of the target, in both directions.",
+            static_cast<double>(transfer.bytes), labels);
+    }
+}
+
 void TrafficMetrics::addEventCounters(MetricsPage& page) const
 {
     for (int i = 0; i < refusalReasonCount; ++i) {
--- a/tarragonhaven/traffic_metrics.h
+++ b/tarragonhaven/traffic_metrics.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace tarragonhaven {
 
@@ -60,6 +61,16 @@
     {
         ++m_breakerChanges.at(static_cast<std::size_t>(state));
     }
+    // Record an attempt that was sent from one data centre to a target in another one or the same, and bytes
+    // of bodies that were exchanged for it.
+    void recordTransfer(const DataCentreName& from, const DataCentreName& to)
+    {
+        ++m_transfers[{ from, to }].attempts;
+    }
+    void recordTransferredBytes(const DataCentreName& from, const DataCentreName& to, std::size_t bytes)
+    {
+        m_transfers[{ from, to }].bytes += bytes;
+    }
     void recordRetry() { ++m_retries; }
     void recordHedge() { ++m_hedges; }
     void recordTruncatedResponse() { ++m_truncatedResponses; }
@@ -87,13 +98,20 @@
     static constexpr std::size_t breakerStateCount
         = static_cast<std::size_t>(TargetBreaker::State::HalfOpen) + 1;
 
+    struct Transfer {
+        std::uint64_t attempts = 0;
+        std::uint64_t bytes = 0;
+    };
+
     OrganisationCounts& countsFor(const OrganisationName& organisation);
     LatencyHistogram& stageTimes(Stage stage, RequestClass requestClass);
     void addEventCounters(MetricsPage& page) const;
     void addLatencies(MetricsPage& page) const;
+    void addTransfers(MetricsPage& page) const;
 
     std::map<ServiceName, LatencyHistogram> m_firstByteTimes;
     std::array<std::array<LatencyHistogram, requestClassCount>, stageCount> m_stageTimes;
+    std::map<std::pair<DataCentreName, DataCentreName>, Transfer> m_transfers;
     std::map<std::string, OrganisationCounts> m_organisations;
     std::array<std::uint64_t, refusalReasonCount> m_refusals {};
     std::array<std::uint64_t, refusalReasonCount> m_failedAttempts {};
