--- a/tarragonhaven/testing/client_flood.cc
+++ b/tarragonhaven/testing/client_flood.cc
@@ -74,6 +74,7 @@
     const FloodPattern pattern;
     std::array<char, readBytes> discarded {};
     std::atomic<std::size_t> sentBytes { 0 };
+    std::atomic<std::size_t> receivedBytes { 0 };
     std::atomic<int> connected { 0 };
     std::atomic<int> sending;
 
@@ -157,7 +158,8 @@
 {
     const bool slowly = m_rep.pattern.reading == FloodPattern::Reading::Slowly;
     m_socket.async_read_some(asio::buffer(m_rep.discarded.data(), slowly ? 1 : m_rep.discarded.size()),
-        [this, slowly](error_code error, std::size_t) {
+        [this, slowly](error_code error, std::size_t bytes) {
+            m_rep.receivedBytes += bytes;
             if (error)
                 return close();
             if (!slowly)
@@ -189,6 +191,8 @@
 
 std::size_t ClientFlood::sentBytes() const { return m_rep->sentBytes; }
 
+std::size_t ClientFlood::receivedBytes() const { return m_rep->receivedBytes; }
+
 int ClientFlood::connected() const { return m_rep->connected; }
 
 int ClientFlood::sending() const { return m_rep->sending; }
--- a/tarragonhaven/testing/client_flood.h
+++ b/tarragonhaven/testing/client_flood.h
@@ -43,6 +43,8 @@
 
     // Returns the number of bytes that all connections have sent.
     [[nodiscard]] std::size_t sentBytes() const;
+    // Returns the number of bytes that all connections have read.
+    [[nodiscard]] std::size_t receivedBytes() const;
     // Returns the number of connections that have been established, including those that were closed later.
     [[nodiscard]] int connected() const;
     // Returns the number of connections that have not been closed and still send as fast as they can.
--- a/tarragonhaven/testing/client_flood_check.h
+++ b/tarragonhaven/testing/client_flood_check.h
@@ -89,7 +89,8 @@
     {
         const ClientFlood flood(server, bounds.connections, pattern);
         descriptors = awaitFlood(flood, fleet, bounds);
-        INFO("connected: " << flood.connected() << ", bytes sent: " << flood.sentBytes());
+        INFO("connected: " << flood.connected() << ", bytes sent: " << flood.sentBytes()
+                           << ", read: " << flood.receivedBytes());
         CHECK(flood.connected() > 0);
         checkProcesses(fleet, bounds.memoryKb);
         CHECK(descriptors <= bounds.connections + floodReservedDescriptors);
--- a/tarragonhaven/testing/client_flood_fleet.h
+++ b/tarragonhaven/testing/client_flood_fleet.h
@@ -28,6 +28,8 @@
     int nodes = 1;
     // The number of descriptors that each process may have; if not set, that of the test's own process.
     std::optional<rlim_t> descriptors;
+    // The longest body that the declaration allows.
+    std::size_t bodyLimitBytes = floodBodyLimitBytes;
     // What the targets do with the requests of a flood. If not set, a FakeTarget runs beside each node.
     std::optional<TinyChunkAnswer> tinyChunks;
 };
@@ -44,7 +46,7 @@
         , m_store(m_io, address(storeHost, storePort))
     {
         std::filesystem::create_directories(m_folder);
-        m_store.put(platform::testing::configKey(), declaration());
+        m_store.put(platform::testing::configKey(), declaration(options));
         for (int node = 1; node <= options.nodes; ++node)
             addTarget(node, options);
         m_thread = std::thread([this] { m_io.run(); });
@@ -147,7 +149,7 @@
                 "\r\n") };
     }
 
-    static std::string declaration()
+    static std::string declaration(const FloodFleetOptions& options)
     {
         platform::testing::SoakDeclaration declared;
         declared.host = host;
@@ -157,7 +159,7 @@
         declared.routes = { { "/status/", "status" }, { "/upload/", "status", false } };
         auto document = nlohmann::json::parse(platform::testing::configValue(declared));
         document["limits"]
-            = { { "max_header_bytes", floodHeadLimitBytes }, { "max_body_bytes", floodBodyLimitBytes },
+            = { { "max_header_bytes", floodHeadLimitBytes }, { "max_body_bytes", options.bodyLimitBytes },
                   { "header_timeout_ms", floodHeadTimeoutMs }, { "idle_timeout_ms", floodIdleTimeoutMs } };
         return document.dump();
     }
--- a/tarragonhaven/testing/client_flood_target.cc
+++ b/tarragonhaven/testing/client_flood_target.cc
@@ -17,6 +17,7 @@
     using tcp = asio::ip::tcp;
 
     constexpr std::size_t bufferBytes = 16'384;
+    constexpr int receiveBufferBytes = 4096;
     constexpr int chunksPerWrite = 1000;
 
     std::string tinyChunks()
@@ -51,6 +52,9 @@
         , chunks(tinyChunks())
         , m_acceptor(io, tcp::endpoint(asio::ip::make_address(address.address), address.port))
     {
+        // Inherited by the accepted sockets, so that what the target does not read stays with its sender
+        // soon.
+        m_acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
     }
 
     void accept();
