Limit accepted connections by port and by address

Callers saw: at 3,000 connections of callers every new one was closed at once, so a flood of connections that send nothing shut out all others until the declared timeouts. The peers' port and the operators' endpoint had no limit, so that connections to them could use up the descriptors that targets, links and the store need.

Cause: one fixed number for callers, and none for the other ports.

Change: the descriptors of the process, less a reserve of 200, are divided among the ports. At its total a port closes the connection that has made the least progress for longest: without a completed request first, then idle ones, then stalled bodies; never one whose request runs. If none can be closed, or the system has no descriptor, accepting pauses; pauses, closes and refusals are counted by port and reason and logged at most once a second. An address has up to 95% of a port and displaces its own connections beyond it.

Ruled out: refusing all new connections (the fault above), closing the oldest (ordinary callers reuse theirs), one total for all ports (callers would cut links between nodes).

No client flood was run against a process. It works because silent connections make no progress by definition, and the lowest free descriptor bounds how many are in use.

standing_peer_test builds its PeerSession with a tracked connection, which the constructor now takes; its checks are unchanged.

--- a/tarragonhaven/caller_sessions.cc
+++ b/tarragonhaven/caller_sessions.cc
@@ -4,29 +4,27 @@
 
 namespace tarragonhaven {
 
-CallerSessions::CallerSessions(
-    boost::asio::io_context& io, Entry& entry, std::uint32_t maximumConnections, const PipelineLimits& limits)
+CallerSessions::CallerSessions(boost::asio::io_context& io, Entry& entry, const ConnectionLimits& connections,
+    PortCounters& counters, const PipelineLimits& limits)
     : m_entry(entry)
-    , m_maximumConnections(maximumConnections)
     , m_limits(limits)
     , m_aheadBudget(limits)
-    , m_listener(io, [this](auto socket) { accept(std::move(socket)); })
+    , m_gate({ io, "callers", counters, entry.dependencies().log }, connections,
+          [this](auto socket, auto tracked) { accept(std::move(socket), std::move(tracked)); })
 {
 }
 
 std::string CallerSessions::open(const Endpoint& endpoint)
 {
-    const auto error = m_listener.open(endpoint);
+    const auto error = m_gate.open(endpoint);
     return error.empty() ? error : "cannot listen on the caller address: " + error;
 }
 
-void CallerSessions::accept(boost::asio::ip::tcp::socket socket)
+void CallerSessions::accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked)
 {
-    if (m_sessions.size() >= m_maximumConnections)
-        return;
     auto& metrics = m_entry.dependencies().metrics;
-    auto session = std::make_shared<CallerSession>(m_entry, std::move(socket), m_limits, m_aheadBudget,
-        [this, &metrics](const std::shared_ptr<CallerSession>& ended) {
+    auto session = std::make_shared<CallerSession>(m_entry, std::move(socket), std::move(tracked), m_limits,
+        m_aheadBudget, [this, &metrics](const std::shared_ptr<CallerSession>& ended) {
             m_sessions.erase(ended);
             metrics.recordConnectionChange(-1);
         });
--- a/tarragonhaven/caller_sessions.h
+++ b/tarragonhaven/caller_sessions.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/entry.h"
-#include "tarragonhaven/listener.h"
+#include "tarragonhaven/memory/connection_gate.h"
 #include "tarragonhaven/pipelining/ahead_budget.h"
 #include "tarragonhaven/pipelining/caller_session.h"
 
@@ -12,17 +12,17 @@
 
 namespace tarragonhaven {
 
-// Accepts the callers' connections of a node and owns their sessions. Connections above the maximum number
-// are closed at once. May be used on the traffic thread only.
+// Accepts the callers' connections of a node, within limits, and owns their sessions. May be used on the
+// traffic thread only.
 class CallerSessions {
 public:
-    CallerSessions(boost::asio::io_context& io, Entry& entry, std::uint32_t maximumConnections,
-        const PipelineLimits& limits = {});
+    CallerSessions(boost::asio::io_context& io, Entry& entry, const ConnectionLimits& connections,
+        PortCounters& counters, const PipelineLimits& limits = {});
 
     // Opens the listening socket. Returns an empty text, or an error message on failure.
     std::string open(const Endpoint& endpoint);
     // Stops accepting new connections.
-    void closeListener() { m_listener.close(); }
+    void closeListener() { m_gate.close(); }
     // Closes each connection after its next response.
     void closeAfterResponses();
     // Closes the connections that have no request in progress.
@@ -37,13 +37,12 @@
     [[nodiscard]] bool busy() const;
 
 private:
-    void accept(boost::asio::ip::tcp::socket socket);
+    void accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked);
 
     Entry& m_entry;
-    std::uint32_t m_maximumConnections;
     PipelineLimits m_limits;
     AheadBudget m_aheadBudget;
-    Listener m_listener;
+    ConnectionGate m_gate;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
 };
 
--- a/tarragonhaven/listener.cc
+++ b/tarragonhaven/listener.cc
@@ -12,15 +12,17 @@
     using tcp = boost::asio::ip::tcp;
 
     constexpr int backlog = 1024;
-    // The delay before the next accept after a failure, such as a lack of file descriptors.
+    // The delay before the next accept after a failure, such as a lack of file descriptors, and during a
+    // pause.
     constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
 
 } // namespace
 
-Listener::Listener(boost::asio::io_context& io, SocketHandler handler)
+Listener::Listener(boost::asio::io_context& io, SocketHandler handler, AcceptPolicy* policy)
     : m_acceptor(io)
     , m_io(io)
     , m_handler(std::move(handler))
+    , m_policy(policy)
 {
 }
 
@@ -49,6 +51,8 @@
 
 void Listener::acceptNext()
 {
+    if (m_policy && !m_policy->mayAccept())
+        return acceptLater();
     m_acceptor.async_accept([this](error_code error, tcp::socket socket) {
         if (!m_acceptor.is_open())
             return;
@@ -56,11 +60,18 @@
             m_handler(std::move(socket));
             return acceptNext();
         }
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, acceptRetryDelay);
-        timer->async_wait([this, timer](error_code) {
-            if (m_acceptor.is_open())
-                acceptNext();
-        });
+        if (m_policy)
+            m_policy->onAcceptFailed(error.message());
+        acceptLater();
+    });
+}
+
+void Listener::acceptLater()
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, acceptRetryDelay);
+    timer->async_wait([this, timer](error_code) {
+        if (m_acceptor.is_open())
+            acceptNext();
     });
 }
 
--- a/tarragonhaven/node.cc
+++ b/tarragonhaven/node.cc
@@ -3,6 +3,8 @@
 #include "tarragonhaven/configuration_watcher.h"
 #include "tarragonhaven/control_thread.h"
 #include "tarragonhaven/log_writer.h"
+#include "tarragonhaven/memory/descriptor_limit.h"
+#include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/node_traffic.h"
 #include "tarragonhaven/operator_server.h"
@@ -33,6 +35,7 @@
         , hello(makeHello(settings))
         , logWriter(settings.instance.text, settings.logLevel, settings.logBudget)
         , log(logWriter.channel())
+        , connections(connectionLimits(settings.connections, descriptorLimit()))
         , configuration(settings, hello, logWriter.channel())
         , idempotencySecret(util::randomHex(idempotencySecretBytes))
         , control({ settings.peerAddress,
@@ -40,8 +43,9 @@
                   settings.seedPeers },
               logWriter.channel(), configuration.controlEvents(), configuration.peerRevisions() })
         , traffic({ settings, hello, state, logWriter.channel(), configuration.trafficEvents(),
-              control.requests(), control.replies(), idempotencySecret })
-        , operators(state, traffic.statusRequests(), traffic.statusReplies())
+              control.requests(), control.replies(), idempotencySecret, connections })
+        , operators(state, logWriter.channel(), connections.operators, traffic.statusRequests(),
+              traffic.statusReplies())
     {
     }
 
@@ -50,6 +54,7 @@
     NodeState state;
     LogWriter logWriter;
     LogChannel& log;
+    NodeConnectionLimits connections;
     ConfigurationWatcher configuration;
     std::string idempotencySecret;
     ControlThread control;
--- a/tarragonhaven/node_settings.h
+++ b/tarragonhaven/node_settings.h
@@ -3,11 +3,11 @@
 #include "tarragonhaven/endpoint.h"
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
+#include "tarragonhaven/memory/connection_settings.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "util/time.h"
 
-#include <cstdint>
 #include <vector>
 
 namespace tarragonhaven {
@@ -27,7 +27,7 @@
     LogBudgetOptions logBudget;
     // How long a planned stop waits for requests in progress.
     util::Duration drainTimeout {};
-    std::uint32_t maximumConnections = 0;
+    ConnectionSettings connections;
     PipelineLimits pipeline;
 
     friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
--- a/tarragonhaven/node_settings_parse.cc
+++ b/tarragonhaven/node_settings_parse.cc
@@ -2,6 +2,8 @@
 
 #include "tarragonhaven/settings_checks.h"
 
+#include <algorithm>
+
 namespace tarragonhaven {
 
 namespace {
@@ -46,7 +48,8 @@
     settings.drainTimeout = util::fromSeconds(raw.drainSeconds);
     if (raw.maximumConnections < 1 || raw.maximumConnections > connectionsLimit)
         faults.push_back({ "maximum_connections", "must be from 1 to 100000" });
-    settings.maximumConnections = static_cast<std::uint32_t>(raw.maximumConnections);
+    settings.connections = parseConnectionSettings(raw.connections, faults);
+    settings.connections.callers = static_cast<std::size_t>(std::max(raw.maximumConnections, 1));
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     checkDistinctAddresses(settings, faults);
     if (!faults.empty())
--- a/tarragonhaven/node_settings_parse.h
+++ b/tarragonhaven/node_settings_parse.h
@@ -24,6 +24,7 @@
     double drainSeconds = 0;
     int maximumConnections = 0;
     RawPipelineLimits pipeline;
+    RawConnectionSettings connections;
 };
 
 // Parses and checks all settings. On failure, returns every fault; its path is the name of the flag.
--- a/tarragonhaven/node_traffic.cc
+++ b/tarragonhaven/node_traffic.cc
@@ -34,9 +34,10 @@
     , m_entry({ m_thread.io(), m_guard, m_peers, m_control, m_dependencies.log, m_metrics,
           m_dependencies.settings.instance, m_dependencies.settings.dataCentre,
           m_dependencies.localHello.incarnation, EntryOptions {} })
-    , m_callers(m_thread.io(), m_entry, m_dependencies.settings.maximumConnections,
-          m_dependencies.settings.pipeline)
-    , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello)
+    , m_callers(m_thread.io(), m_entry, m_dependencies.connections.callers,
+          m_dependencies.state.connections.callers, m_dependencies.settings.pipeline)
+    , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello, m_dependencies.connections.peers,
+          m_dependencies.state.connections.peers, m_dependencies.log)
     , m_status(m_thread.io(), [this] { return sources(); })
 {
     m_dependencies.configurationEvents.setWakeHandler([this] {
@@ -210,6 +211,10 @@
         m_dependencies.state.drained.store(true);
 }
 
-TrafficSources NodeTraffic::sources() const { return { m_entry, m_guard, m_metrics, m_dependencies.log }; }
+TrafficSources NodeTraffic::sources() const
+{
+    return { m_entry, m_guard, m_metrics, m_dependencies.log, nullptr, nullptr,
+        &m_dependencies.state.connections };
+}
 
 } // namespace tarragonhaven
--- a/tarragonhaven/node_traffic.h
+++ b/tarragonhaven/node_traffic.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/control_exchange.h"
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/guard.h"
+#include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_settings.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/peer_sessions.h"
@@ -33,6 +34,7 @@
         util::BoundedRing<ControlReply>& controlReplies;
         // The secret that signs the idempotency keys of this incarnation.
         std::string idempotencySecret;
+        NodeConnectionLimits connections;
     };
 
     explicit NodeTraffic(Dependencies dependencies);
--- a/tarragonhaven/operator_server.cc
+++ b/tarragonhaven/operator_server.cc
@@ -22,8 +22,10 @@
     public:
         using StatusQuery = std::function<void(bool metrics, std::function<void(const StatusReply&)>)>;
 
-        OperatorSession(tcp::socket socket, const NodeState& state, StatusQuery queryStatus)
+        OperatorSession(tcp::socket socket, std::unique_ptr<TrackedConnection> tracked,
+            const NodeState& state, StatusQuery queryStatus)
             : m_stream(std::move(socket))
+            , m_tracked(std::move(tracked))
             , m_state(state)
             , m_queryStatus(std::move(queryStatus))
         {
@@ -31,6 +33,10 @@
 
         void start()
         {
+            m_tracked->onClose([weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    self->m_stream.close();
+            });
             m_stream.expires_after(ioTimeout);
             http::async_read_header(
                 m_stream, m_buffer, m_parser, [self = shared_from_this()](error_code error, std::size_t) {
@@ -42,6 +48,7 @@
     private:
         void handleRequest()
         {
+            m_tracked->setStage(ConnectionStage::Running);
             const std::string target(m_parser.get().target());
             if (m_parser.get().method() != http::verb::get)
                 return respond(http::status::method_not_allowed, "text/plain",
@@ -75,6 +82,7 @@
             m_response.keep_alive(false);
             m_response.body() = body;
             m_response.prepare_payload();
+            m_tracked->setStage(ConnectionStage::Transferring);
             m_stream.expires_after(ioTimeout);
             http::async_write(
                 m_stream, m_response, [self = shared_from_this()](error_code error, std::size_t) {
@@ -83,6 +91,7 @@
         }
 
         beast::tcp_stream m_stream;
+        std::unique_ptr<TrackedConnection> m_tracked;
         const NodeState& m_state;
         StatusQuery m_queryStatus;
         beast::flat_buffer m_buffer { requestLimitBytes };
@@ -92,11 +101,13 @@
 
 } // namespace
 
-OperatorServer::OperatorServer(const NodeState& state, util::BoundedRing<StatusRequest>& requests,
-    util::BoundedRing<StatusReply>& replies)
+OperatorServer::OperatorServer(NodeState& state, LogChannel& log, const ConnectionLimits& connections,
+    util::BoundedRing<StatusRequest>& requests, util::BoundedRing<StatusReply>& replies)
     : m_state(state)
     , m_requests(requests)
     , m_replies(replies)
+    , m_gate({ m_io, "operators", state.connections.operators, log }, connections,
+          [this](auto socket, auto tracked) { accept(std::move(socket), std::move(tracked)); })
 {
     m_replies.setWakeHandler([this] {
         boost::asio::post(m_io, [this] {
@@ -113,9 +124,7 @@
 
 std::string OperatorServer::open(const Endpoint& endpoint)
 {
-    m_listeners.push_back(
-        std::make_unique<Listener>(m_io, [this](tcp::socket socket) { accept(std::move(socket)); }));
-    const auto error = m_listeners.back()->open(endpoint);
+    const auto error = m_gate.open(endpoint);
     return error.empty() ? error : "cannot listen at the operator address: " + error;
 }
 
@@ -134,11 +143,11 @@
         m_thread.join();
 }
 
-void OperatorServer::accept(tcp::socket socket)
+void OperatorServer::accept(tcp::socket socket, std::unique_ptr<TrackedConnection> tracked)
 {
-    std::make_shared<OperatorSession>(std::move(socket), m_state, [this](bool metrics, ReplyHandler handler) {
-        queryStatus(metrics, std::move(handler));
-    })->start();
+    std::make_shared<OperatorSession>(std::move(socket), std::move(tracked), m_state,
+        [this](bool metrics, ReplyHandler handler) { queryStatus(metrics, std::move(handler)); })
+        ->start();
 }
 
 void OperatorServer::queryStatus(bool metrics, ReplyHandler handler)
--- a/tarragonhaven/operator_server.h
+++ b/tarragonhaven/operator_server.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "tarragonhaven/endpoint.h"
-#include "tarragonhaven/listener.h"
+#include "tarragonhaven/log_channel.h"
+#include "tarragonhaven/memory/connection_gate.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/status_request.h"
 #include "util/bounded_ring.h"
@@ -12,7 +13,6 @@
 #include <memory>
 #include <string>
 #include <thread>
-#include <vector>
 
 namespace tarragonhaven {
 
@@ -24,11 +24,12 @@
 //   GET /metrics   the metrics in the Prometheus text exposition format
 //
 // For the last two, the server queries the traffic thread over a pair of rings, so that a slow client never
-// blocks traffic. If the request ring is full, the connection is closed without a response.
+// blocks traffic. If the request ring is full, the connection is closed without a response. The number of
+// connections is limited, so that clients cannot use up the descriptors or the memory of the process.
 class OperatorServer {
 public:
-    OperatorServer(const NodeState& state, util::BoundedRing<StatusRequest>& requests,
-        util::BoundedRing<StatusReply>& replies);
+    OperatorServer(NodeState& state, LogChannel& log, const ConnectionLimits& connections,
+        util::BoundedRing<StatusRequest>& requests, util::BoundedRing<StatusReply>& replies);
     ~OperatorServer();
     OperatorServer(const OperatorServer&) = delete;
     OperatorServer& operator=(const OperatorServer&) = delete;
@@ -42,7 +43,7 @@
 private:
     using ReplyHandler = std::function<void(const StatusReply&)>;
 
-    void accept(boost::asio::ip::tcp::socket socket);
+    void accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked);
     // Requests the metrics or the status from the traffic thread. Drops the handler if the ring is full.
     void queryStatus(bool metrics, ReplyHandler handler);
 
@@ -50,7 +51,7 @@
     util::BoundedRing<StatusRequest>& m_requests;
     util::BoundedRing<StatusReply>& m_replies;
     boost::asio::io_context m_io;
-    std::vector<std::unique_ptr<Listener>> m_listeners;
+    ConnectionGate m_gate;
     // Handlers of the replies that have not arrived yet, by request id.
     std::map<unsigned long, ReplyHandler> m_pendingReplies;
     unsigned long m_lastRequestId = 0;
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -19,14 +19,20 @@
 
 } // namespace
 
-PeerSession::PeerSession(PeerSessionHost& host, std::shared_ptr<PeerLink> link)
+PeerSession::PeerSession(
+    PeerSessionHost& host, std::shared_ptr<PeerLink> link, std::unique_ptr<TrackedConnection> tracked)
     : m_host(host)
     , m_link(std::move(link))
+    , m_tracked(std::move(tracked))
 {
 }
 
 void PeerSession::start()
 {
+    m_tracked->onClose([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->close();
+    });
     m_link->accept(helloTimeout, [self = shared_from_this()](bool accepted) {
         if (!accepted)
             return self->disconnect();
@@ -52,6 +58,7 @@
     m_link->stopWatch();
     m_exchange.reset();
     m_requestActive = false;
+    m_tracked->setStage(ConnectionStage::Idle);
     m_link->read(idleTimeout, [self = shared_from_this()](std::optional<PeerFrame> frame) {
         if (!frame)
             return self->disconnect();
@@ -77,6 +84,7 @@
 void PeerSession::handleOpenFrame(const OpenFrame& frame)
 {
     m_requestActive = true;
+    m_tracked->setStage(ConnectionStage::Running);
     m_context = contextOf(frame);
     m_requestBodyPending = frame.head.hasBody;
     m_target = m_host.guard().find({ frame.target });
--- a/tarragonhaven/peer_session.h
+++ b/tarragonhaven/peer_session.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/guard.h"
 #include "tarragonhaven/guard_exchange.h"
+#include "tarragonhaven/memory/tracked_connection.h"
 #include "tarragonhaven/peer_link.h"
 
 #include <functional>
@@ -26,7 +27,8 @@
 // request in progress, if the peer closes the link or sends an unexpected frame.
 class PeerSession : public std::enable_shared_from_this<PeerSession> {
 public:
-    PeerSession(PeerSessionHost& host, std::shared_ptr<PeerLink> link);
+    PeerSession(
+        PeerSessionHost& host, std::shared_ptr<PeerLink> link, std::unique_ptr<TrackedConnection> tracked);
 
     // Waits for the HelloFrame of the peer and serves its requests.
     void start();
@@ -57,6 +59,7 @@
 
     PeerSessionHost& m_host;
     std::shared_ptr<PeerLink> m_link;
+    std::unique_ptr<TrackedConnection> m_tracked;
     std::shared_ptr<GuardExchange> m_exchange;
     std::shared_ptr<GuardedTarget> m_target;
     // The request in progress, or the latest one.
--- a/tarragonhaven/peer_sessions.cc
+++ b/tarragonhaven/peer_sessions.cc
@@ -2,23 +2,25 @@
 
 namespace tarragonhaven {
 
-PeerSessions::PeerSessions(boost::asio::io_context& io, PeerSessionHost& host, HelloFrame localHello)
+PeerSessions::PeerSessions(boost::asio::io_context& io, PeerSessionHost& host, HelloFrame localHello,
+    const ConnectionLimits& connections, PortCounters& counters, LogChannel& log)
     : m_host(host)
     , m_localHello(std::move(localHello))
-    , m_listener(io, [this](auto socket) { accept(std::move(socket)); })
+    , m_gate({ io, "peers", counters, log }, connections,
+          [this](auto socket, auto tracked) { accept(std::move(socket), std::move(tracked)); })
 {
 }
 
 std::string PeerSessions::open(const Endpoint& endpoint)
 {
-    const auto error = m_listener.open(endpoint);
+    const auto error = m_gate.open(endpoint);
     return error.empty() ? error : "cannot listen at the peer address: " + error;
 }
 
-void PeerSessions::accept(boost::asio::ip::tcp::socket socket)
+void PeerSessions::accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked)
 {
     auto link = std::make_shared<PeerLink>(std::move(socket), m_localHello);
-    auto session = std::make_shared<PeerSession>(m_host, std::move(link));
+    auto session = std::make_shared<PeerSession>(m_host, std::move(link), std::move(tracked));
     m_sessions.insert(session);
     session->start();
 }
--- a/tarragonhaven/peer_sessions.h
+++ b/tarragonhaven/peer_sessions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "tarragonhaven/listener.h"
+#include "tarragonhaven/memory/connection_gate.h"
 #include "tarragonhaven/peer_session.h"
 
 #include <boost/asio/io_context.hpp>
@@ -10,10 +10,12 @@
 
 namespace tarragonhaven {
 
-// Accepts links from other nodes and keeps their sessions. Only the traffic thread may use it.
+// Accepts links from other nodes, within limits, and keeps their sessions. Only the traffic thread may use
+// it.
 class PeerSessions {
 public:
-    PeerSessions(boost::asio::io_context& io, PeerSessionHost& host, HelloFrame localHello);
+    PeerSessions(boost::asio::io_context& io, PeerSessionHost& host, HelloFrame localHello,
+        const ConnectionLimits& connections, PortCounters& counters, LogChannel& log);
 
     // Opens the listening socket. Returns an error message, or an empty text on success.
     std::string open(const Endpoint& endpoint);
@@ -23,11 +25,11 @@
     void removeEnded();
 
 private:
-    void accept(boost::asio::ip::tcp::socket socket);
+    void accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked);
 
     PeerSessionHost& m_host;
     HelloFrame m_localHello;
-    Listener m_listener;
+    ConnectionGate m_gate;
     std::set<std::weak_ptr<PeerSession>, std::owner_less<>> m_sessions;
 };
 
--- a/tarragonhaven/pipelining/caller_connection.h
+++ b/tarragonhaven/pipelining/caller_connection.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/body_budget.h"
 #include "tarragonhaven/entry.h"
+#include "tarragonhaven/memory/tracked_connection.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -13,15 +14,18 @@
 
 // The connection of one caller, shared by the parts of its session.
 struct CallerConnection {
-    CallerConnection(Entry& sharedEntry, boost::asio::ip::tcp::socket socket, std::size_t maximumHeldBytes)
+    CallerConnection(Entry& sharedEntry, boost::asio::ip::tcp::socket socket,
+        std::unique_ptr<TrackedConnection> trackedConnection, std::size_t maximumHeldBytes)
         : entry(sharedEntry)
         , stream(std::move(socket))
+        , tracked(std::move(trackedConnection))
         , budget(std::make_shared<BodyBudget>(maximumHeldBytes, &sharedEntry.bodyBudget()))
     {
     }
 
     Entry& entry;
     boost::beast::tcp_stream stream;
+    std::unique_ptr<TrackedConnection> tracked;
     // Counts the memory that is held for this connection: bodies, and heads that were read ahead. Shared with
     // exchanges that outlive the session.
     std::shared_ptr<BodyBudget> budget;
--- a/tarragonhaven/pipelining/caller_request.cc
+++ b/tarragonhaven/pipelining/caller_request.cc
@@ -227,6 +227,7 @@
         [self = shared_from_this(), handler = std::move(handler)](error_code error, BodyChunk chunk) {
             if (self->m_ended)
                 return;
+            self->m_session->recordProgress();
             if (error && RequestReader::isConnectionLost(error))
                 return self->m_session->onReadingEnded(CloseReason::Disconnected);
             if (error)
@@ -237,6 +238,7 @@
             if (last)
                 self->m_session->proceed();
         });
+    m_session->updateStage();
 }
 
 void CallerRequest::readBody(std::function<void(bool, BodyChunk)> handler)
@@ -403,6 +405,7 @@
 {
     if (!written)
         return m_session->end(CloseReason::WriteFailed);
+    m_session->recordProgress();
     m_session->proceed();
 }
 
--- a/tarragonhaven/pipelining/caller_session.cc
+++ b/tarragonhaven/pipelining/caller_session.cc
@@ -28,9 +28,10 @@
 
 } // namespace
 
-CallerSession::CallerSession(Entry& entry, tcp::socket socket, const PipelineLimits& limits,
-    AheadBudget& aheadBudget, EndHandler onEnd)
-    : m_connection(std::make_shared<CallerConnection>(entry, std::move(socket), limits.heldBytes))
+CallerSession::CallerSession(Entry& entry, tcp::socket socket, std::unique_ptr<TrackedConnection> tracked,
+    const PipelineLimits& limits, AheadBudget& aheadBudget, EndHandler onEnd)
+    : m_connection(
+        std::make_shared<CallerConnection>(entry, std::move(socket), std::move(tracked), limits.heldBytes))
     , m_aheadBudget(aheadBudget)
     , m_onEnd(std::move(onEnd))
     , m_pipeline(limits.requests)
@@ -45,6 +46,10 @@
 {
     error_code ignored;
     m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    m_connection->tracked->onClose([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->makeRoom();
+    });
     m_reader = std::make_shared<RequestReader>(m_connection, weak_from_this());
     m_writer = std::make_shared<ResponseWriter>(m_connection);
     proceed();
@@ -72,6 +77,29 @@
     end(CloseReason::Stopped);
 }
 
+void CallerSession::makeRoom()
+{
+    if (const auto lingeringClose = m_lingeringClose)
+        return lingeringClose->close();
+    end(CloseReason::ClosedForRoom);
+}
+
+ConnectionStage CallerSession::stage() const
+{
+    if (m_requests.empty())
+        return m_answered ? ConnectionStage::Idle : ConnectionStage::New;
+    const bool awaitsBody = m_reader->readingBody() && m_requests.size() == 1;
+    return m_writer->busy() || awaitsBody ? ConnectionStage::Transferring : ConnectionStage::Running;
+}
+
+void CallerSession::updateStage() { m_connection->tracked->setStage(stage()); }
+
+void CallerSession::recordProgress()
+{
+    updateStage();
+    m_connection->tracked->recordProgress();
+}
+
 bool CallerSession::busy() const { return !m_requests.empty() || m_reader->headBegun() || m_lingeringClose; }
 
 bool CallerSession::mayHoldMore() const
@@ -127,6 +155,7 @@
         m_reader->proceed(mayReadHead(), m_pipeline.size() > beingRead);
     } while (m_proceedAgain);
     m_proceeding = false;
+    updateStage();
 }
 
 void CallerSession::startRequests()
@@ -206,6 +235,7 @@
     const auto answered = m_requests.front();
     m_requests.pop_front();
     m_pipeline.finishFront();
+    m_answered = true;
     answered->end();
     if (closeAnnounced || m_pipeline.done())
         return end(CloseReason::Announced);
@@ -237,6 +267,7 @@
     error_code ignored;
     if (reason == CloseReason::Announced && m_reader->mayReceiveMore()) {
         m_connection->stream.cancel();
+        updateStage();
         m_lingeringClose = std::make_shared<LingeringClose>(m_connection, [this, self] { m_onEnd(self); });
         return m_lingeringClose->start();
     }
--- a/tarragonhaven/pipelining/caller_session.h
+++ b/tarragonhaven/pipelining/caller_session.h
@@ -30,8 +30,9 @@
 public:
     using EndHandler = std::function<void(const std::shared_ptr<CallerSession>&)>;
 
-    CallerSession(Entry& entry, boost::asio::ip::tcp::socket socket, const PipelineLimits& limits,
-        AheadBudget& aheadBudget, EndHandler onEnd);
+    CallerSession(Entry& entry, boost::asio::ip::tcp::socket socket,
+        std::unique_ptr<TrackedConnection> tracked, const PipelineLimits& limits, AheadBudget& aheadBudget,
+        EndHandler onEnd);
     ~CallerSession();
     CallerSession(const CallerSession&) = delete;
     CallerSession& operator=(const CallerSession&) = delete;
@@ -67,6 +68,10 @@
     [[nodiscard]] bool mayHoldMore() const;
     // Starts, writes and reads what may be started, written and read now.
     void proceed();
+    // Records what the session waits for. To be called when that may have changed.
+    void updateStage();
+    // Records that a part of a body has arrived or was written.
+    void recordProgress();
     // The response to a request closes the connection. Gives up the requests behind it.
     void closeAfter(RequestPipeline::Number number);
     // The body of a request that was read ahead cannot be read. The request gets no response, and the
@@ -79,6 +84,9 @@
     void end(CloseReason reason);
 
 private:
+    // Closes the connection so that another can be accepted.
+    void makeRoom();
+    [[nodiscard]] ConnectionStage stage() const;
     [[nodiscard]] bool mayReadHead() const;
     [[nodiscard]] RequestPipeline::Traits traitsOf(const ReceivedHead& received) const;
     void startRequests();
@@ -95,6 +103,8 @@
     std::shared_ptr<ResponseWriter> m_writer;
     std::deque<std::shared_ptr<CallerRequest>> m_requests;
     std::shared_ptr<LingeringClose> m_lingeringClose;
+    // Whether a response was written completely.
+    bool m_answered = false;
     bool m_proceeding = false;
     bool m_proceedAgain = false;
 };
--- a/tarragonhaven/pipelining/close_reason.cc
+++ b/tarragonhaven/pipelining/close_reason.cc
@@ -25,6 +25,8 @@
         return "write-failed";
     case CloseReason::ResponseTruncated:
         return "response-truncated";
+    case CloseReason::ClosedForRoom:
+        return "closed-for-room";
     }
     return "unknown";
 }
--- a/tarragonhaven/pipelining/close_reason.h
+++ b/tarragonhaven/pipelining/close_reason.h
@@ -23,6 +23,8 @@
     WriteFailed,
     // A response that had begun could not be completed.
     ResponseTruncated,
+    // The connection made no progress, and another was accepted instead.
+    ClosedForRoom,
 };
 
 // Returns the name of a reason in log lines, in lower case with hyphens.
--- a/tarragonhaven/pipelining/request_reader.h
+++ b/tarragonhaven/pipelining/request_reader.h
@@ -47,6 +47,8 @@
 
     // Returns whether a part of the latest request's body has not been read.
     [[nodiscard]] bool bodyRemaining() const { return m_bodyRemaining; }
+    // Returns whether the reader waits for a part of the latest request's body.
+    [[nodiscard]] bool readingBody() const { return m_readingBody; }
     // Returns whether a part of a head has arrived.
     [[nodiscard]] bool headBegun() const { return !m_bodyRemaining && m_buffer.size() > 0; }
     // Returns whether the caller has sent more than was read as requests, or is known to have more to send.
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -55,6 +55,16 @@
     "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
 ABSL_FLAG(double, pipeline_bytes, 4194304,
     "Limits: bytes of requests and responses held for one connection of a caller, 65536 to 67108864.");
+ABSL_FLAG(double, caller_connections, 0,
+    "Limits: maximum open connections of callers, 0 to 1000000; 0 derives it from the descriptors.");
+ABSL_FLAG(double, peer_connections, 0,
+    "Limits: maximum open links from other nodes, 0 to 1000000; 0 derives it from the descriptors.");
+ABSL_FLAG(double, operator_connections, 0,
+    "Limits: maximum open connections to the operator endpoint, 0 to 1000000; 0 derives it.");
+ABSL_FLAG(double, address_share, 0.95,
+    "Limits: share of the connections of a port that may come from one address, 0.01 to 1.");
+ABSL_FLAG(double, reserved_descriptors, 200,
+    "Limits: descriptors that no accepted connection uses, 32 to 1000000.");
 
 namespace tarragonhaven {
 
@@ -84,7 +94,10 @@
             absl::GetFlag(FLAGS_floor_share), absl::GetFlag(FLAGS_grace_seconds),
             absl::GetFlag(FLAGS_evacuation_ms), absl::GetFlag(FLAGS_cold_overshoot),
             absl::GetFlag(FLAGS_cold_slack), absl::GetFlag(FLAGS_regions),
-            { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) } };
+            { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) },
+            { absl::GetFlag(FLAGS_caller_connections), absl::GetFlag(FLAGS_peer_connections),
+                absl::GetFlag(FLAGS_operator_connections), absl::GetFlag(FLAGS_address_share),
+                absl::GetFlag(FLAGS_reserved_descriptors) } };
     }
 
     util::Faults applyEnvironment()
@@ -95,7 +108,8 @@
                 "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
                 "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions",
-                "pipeline_requests", "pipeline_bytes" });
+                "pipeline_requests", "pipeline_bytes", "caller_connections", "peer_connections",
+                "operator_connections", "address_share", "reserved_descriptors" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_node.h
+++ b/tarragonhaven/sidecar_node.h
@@ -3,6 +3,8 @@
 #include "tarragonhaven/discovery_watcher.h"
 #include "tarragonhaven/header_names.h"
 #include "tarragonhaven/log_writer.h"
+#include "tarragonhaven/memory/descriptor_limit.h"
+#include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/operator_server.h"
 #include "tarragonhaven/sidecar_settings.h"
@@ -32,10 +34,12 @@
         : m_settings(std::move(settings))
         , m_logWriter(m_settings.label, m_settings.logLevel, m_settings.logBudget)
         , m_log(m_logWriter.channel())
+        , m_connections(connectionLimits(m_settings.connections, descriptorLimit()))
         , m_discovery(std::move(makeStore), directoryOptions(m_settings), m_logWriter.channel())
         , m_traffic({ m_settings, makeHello(m_settings), m_state, m_logWriter.channel(), m_discovery.events(),
-              m_discovery.counters(), headerNames })
-        , m_operators(m_state, m_traffic.statusRequests(), m_traffic.statusReplies())
+              m_discovery.counters(), headerNames, m_connections })
+        , m_operators(m_state, m_logWriter.channel(), m_connections.operators, m_traffic.statusRequests(),
+              m_traffic.statusReplies())
     {
     }
 
@@ -118,6 +122,7 @@
     NodeState m_state;
     LogWriter m_logWriter;
     LogChannel& m_log;
+    NodeConnectionLimits m_connections;
     DiscoveryWatcher<Store> m_discovery;
     SidecarTraffic m_traffic;
     OperatorServer m_operators;
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -66,6 +66,7 @@
     settings.policy = readPolicy(raw, faults);
     settings.regions = parseRegionTable(raw.regions, "regions", faults);
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
+    settings.connections = parseConnectionSettings(raw.connections, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
     return settings;
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -5,6 +5,7 @@
 #include "tarragonhaven/fleet_policy.h"
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
+#include "tarragonhaven/memory/connection_settings.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "util/error.h"
@@ -35,6 +36,7 @@
     FleetPolicy policy;
     RegionTable regions;
     PipelineLimits pipeline;
+    ConnectionSettings connections;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -68,6 +70,7 @@
     std::string coldSlack;
     std::string regions;
     RawPipelineLimits pipeline;
+    RawConnectionSettings connections;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -13,9 +13,6 @@
 
     constexpr util::Duration tickInterval = std::chrono::milliseconds(20);
     constexpr unsigned long ticksPerEvaluation = 5;
-    // The maximum number of callers' connections of an instance. Together with the links to other nodes,
-    // they stay well below the limit on file descriptors.
-    constexpr std::uint32_t maximumConnections = 3000;
     constexpr std::size_t bufferedResponseBytes = 1024 * 1024;
     constexpr int nonQueuingAttempts = 5;
     constexpr int remoteNonQueuingAttempts = 1;
@@ -118,8 +115,10 @@
           m_dependencies.localHello.incarnation,
           entryOptions(m_dependencies.settings, m_dependencies.headerNames), &m_admission })
     , m_evacuations(m_dependencies.settings.instance)
-    , m_callers(m_thread.io(), m_entry, maximumConnections, m_dependencies.settings.pipeline)
-    , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello)
+    , m_callers(m_thread.io(), m_entry, m_dependencies.connections.callers,
+          m_dependencies.state.connections.callers, m_dependencies.settings.pipeline)
+    , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello, m_dependencies.connections.peers,
+          m_dependencies.state.connections.peers, m_dependencies.log)
     , m_status(m_thread.io(), [this] { return sources(); })
 {
     m_dependencies.events.setWakeHandler([this] {
@@ -461,7 +460,8 @@
 
 TrafficSources SidecarTraffic::sources() const
 {
-    return { m_entry, m_guard, m_metrics, m_dependencies.log, &m_admission, &m_dependencies.counters };
+    return { m_entry, m_guard, m_metrics, m_dependencies.log, &m_admission, &m_dependencies.counters,
+        &m_dependencies.state.connections };
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/evacuation/evacuation_announcer.h"
 #include "tarragonhaven/guard.h"
+#include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/peer_sessions.h"
 #include "tarragonhaven/quota_admission.h"
@@ -32,6 +33,7 @@
         util::BoundedRing<DiscoveryEvent>& events;
         const DiscoveryCounters& counters;
         HeaderNames headerNames;
+        NodeConnectionLimits connections;
     };
 
     explicit SidecarTraffic(Dependencies dependencies);
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -30,6 +30,14 @@
 ABSL_FLAG(double, drain_seconds, 20,
     "Limits: how long a planned stop waits for requests in progress, 0 to 3600 s.");
 ABSL_FLAG(int, maximum_connections, 10000, "Limits: maximum open connections of callers, 1 to 100000.");
+ABSL_FLAG(double, peer_connections, 0,
+    "Limits: maximum open links from other nodes, 0 to 1000000; 0 derives it from the descriptors.");
+ABSL_FLAG(double, operator_connections, 0,
+    "Limits: maximum open connections to the operator endpoint, 0 to 1000000; 0 derives it.");
+ABSL_FLAG(double, address_share, 0.95,
+    "Limits: share of the connections of a port that may come from one address, 0.01 to 1.");
+ABSL_FLAG(double, reserved_descriptors, 200,
+    "Limits: descriptors that no accepted connection uses, 32 to 1000000.");
 ABSL_FLAG(double, pipeline_requests, 16,
     "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
 ABSL_FLAG(double, pipeline_bytes, 4194304,
@@ -56,7 +64,9 @@
         absl::GetFlag(FLAGS_seed_peers), absl::GetFlag(FLAGS_log_level),
         absl::GetFlag(FLAGS_log_lines_per_second), absl::GetFlag(FLAGS_log_bytes_per_second),
         absl::GetFlag(FLAGS_drain_seconds), absl::GetFlag(FLAGS_maximum_connections),
-        { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) } };
+        { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) },
+        { 0, absl::GetFlag(FLAGS_peer_connections), absl::GetFlag(FLAGS_operator_connections),
+            absl::GetFlag(FLAGS_address_share), absl::GetFlag(FLAGS_reserved_descriptors) } };
 }
 
 int reportFaults(const util::Faults& faults)
@@ -74,7 +84,8 @@
     const auto environmentFaults = util::applyEnvironment(environmentPrefix,
         { "fleet", "instance", "data_centre", "caller_address", "peer_address", "operator_address",
             "platform_address", "seed_peers", "log_level", "log_lines_per_second", "log_bytes_per_second",
-            "drain_seconds", "maximum_connections", "pipeline_requests", "pipeline_bytes" });
+            "drain_seconds", "maximum_connections", "pipeline_requests", "pipeline_bytes", "peer_connections",
+            "operator_connections", "address_share", "reserved_descriptors" });
     const auto positional = absl::ParseCommandLine(argumentCount, arguments);
     if (positional.size() > 1)
         return reportFaults({ { positional[1], "is not a flag" } });
--- a/tarragonhaven/testing/entry_node.cc
+++ b/tarragonhaven/testing/entry_node.cc
@@ -72,7 +72,8 @@
     , m_log(self.text, LogLevel::Error)
     , m_entry({ m_thread.io(), m_guard, m_peers, m_admission, m_log, m_metrics, self, { "dc1" }, 1,
           entryOptions(options) })
-    , m_callers(m_thread.io(), m_entry, maximumConnections, options.pipeline)
+    , m_callers(m_thread.io(), m_entry, ConnectionLimits { maximumConnections, maximumConnections, 100'000 },
+          m_counters, options.pipeline)
 {
     std::vector<Target> directoryTargets;
     for (const auto& [name, address] : targets) {
--- a/tarragonhaven/testing/entry_node.h
+++ b/tarragonhaven/testing/entry_node.h
@@ -64,6 +64,7 @@
     LogChannel m_log;
     TrafficMetrics m_metrics;
     Entry m_entry;
+    PortCounters m_counters;
     CallerSessions m_callers;
 };
 
--- a/tarragonhaven/testing/local_fleet.cc
+++ b/tarragonhaven/testing/local_fleet.cc
@@ -139,7 +139,7 @@
     }
     settings.logLevel = LogLevel::Error;
     settings.drainTimeout = std::chrono::seconds(10);
-    settings.maximumConnections = 1000;
+    settings.connections.callers = 1000;
     return settings;
 }
 
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -51,6 +51,7 @@
     raw.coldSlack = "-1";
     raw.regions = "north";
     raw.pipeline = { 0, 1000 };
+    raw.connections = { -1, 1e9, 0, 2, 1 };
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -59,5 +60,6 @@
     CHECK(faultPaths
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
             "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms", "cold_overshoot",
-            "cold_slack", "regions", "pipeline_requests", "pipeline_bytes" });
+            "cold_slack", "regions", "pipeline_requests", "pipeline_bytes", "caller_connections",
+            "peer_connections", "address_share", "reserved_descriptors" });
 }
--- a/tarragonhaven/testing/standing_peer_test.cc
+++ b/tarragonhaven/testing/standing_peer_test.cc
@@ -219,7 +219,9 @@
                 std::uint16_t { 1 }));
             m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
                 REQUIRE(!error);
-                std::make_shared<PeerSession>(m_host, std::make_shared<PeerLink>(std::move(socket), hello))
+                std::make_shared<PeerSession>(m_host, std::make_shared<PeerLink>(std::move(socket), hello),
+                    std::make_unique<TrackedConnection>(
+                        std::make_shared<TrackedConnection::Registry>(ConnectionLimits {}), "peer"))
                     ->start();
             });
         }
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -1,5 +1,7 @@
 #include "tarragonhaven/traffic_status.h"
 
+#include "tarragonhaven/memory/connection_metrics.h"
+
 #include <nlohmann/json.hpp>
 
 namespace tarragonhaven {
@@ -200,7 +202,8 @@
 
 std::string trafficStatusJson(const TrafficSources& sources)
 {
-    const auto& [entry, guard, metrics, log, quota, discovery] = sources;
+    const auto& entry = sources.entry;
+    const auto& metrics = sources.metrics;
     const auto& configuration = entry.configuration();
     ordered_json status;
     status["instance"] = entry.dependencies().self.text;
@@ -213,7 +216,7 @@
     status["cutAnswers"] = metrics.truncatedResponses();
     status["evacuated"] = evacuatedDataCentres(entry);
     status["targets"] = targetStates(entry);
-    status["guarded"] = guardedTargetStates(guard);
+    status["guarded"] = guardedTargetStates(sources.guard);
     status["organisations"] = organisations(metrics);
     status["refusals"] = refusals(metrics);
     return status.dump();
@@ -231,6 +234,8 @@
         addQuotaMetrics(page, *sources.quota);
     if (sources.discovery)
         addStoreMetrics(page, *sources.discovery);
+    if (sources.connections)
+        addConnectionMetrics(page, *sources.connections);
     return page.text();
 }
 
--- a/tarragonhaven/traffic_status.h
+++ b/tarragonhaven/traffic_status.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/guard.h"
 #include "tarragonhaven/log_channel.h"
+#include "tarragonhaven/memory/connection_counters.h"
 #include "tarragonhaven/quota_admission.h"
 #include "tarragonhaven/traffic_metrics.h"
 
@@ -11,7 +12,7 @@
 
 namespace tarragonhaven {
 
-// The components whose state is reported. `quota` and `discovery` are null in nodes that do not have them.
+// The components whose state is reported. Those that are null are left out.
 struct TrafficSources {
     const Entry& entry;
     const Guard& guard;
@@ -19,6 +20,7 @@
     const LogChannel& log;
     const QuotaAdmission* quota = nullptr;
     const DiscoveryCounters* discovery = nullptr;
+    const ConnectionCounters* connections = nullptr;
 };
 
 // Returns the state of the traffic thread as a JSON object, for the operator endpoint.
