Bound how slowly callers send bodies and read responses

Callers saw: a body of which one byte arrived every 29 s was read for ever before its request had a target, and its connection was closed without an answer after 30 s of silence. A response that was not read held its buffers for 60 s. At the peers' port an announced frame length of 1.2 MB took that memory before a byte of it had arrived, from a peer that had said nothing else. Clients of the operators' endpoint could send a head for 10 s, and lost the response if they had sent a body.

Cause: each part of a body had a time limit of its own, and buffers were sized from announced lengths.

Change: waiting for a body uses up a grace period of 20 s, which bytes restore at 200 a second. A slower body is refused with 408 and "not run" if no target has received a part of the request; otherwise the connection is closed. A part of a response must be read within 30 s. The first frame of a peer is limited to 4 kB, and the buffer of a frame grows as it arrives. The operators' endpoint reads a request for 3.5 s and lingers after its response. Ends of connections are counted by reason and those for a limit are logged once a second.

Checked and left as it is: the times for a head and for idle connections are measured from the first byte of the head and from the start of the connection on all paths of the callers' port.

Ruled out: an average since the begin of the body, which lets a fast begin pay for a stall of any length.

--- a/tarragonhaven/caller_sessions.cc
+++ b/tarragonhaven/caller_sessions.cc
@@ -4,11 +4,23 @@
 
 namespace tarragonhaven {
 
+namespace {
+
+    // Returns whether a connection was closed because its caller exceeded a limit.
+    bool isLimit(CloseReason reason)
+    {
+        return reason == CloseReason::HeadTimeout || reason == CloseReason::BodyTimeout
+            || reason == CloseReason::DiscardLimit || reason == CloseReason::WriteFailed;
+    }
+
+} // namespace
+
 CallerSessions::CallerSessions(boost::asio::io_context& io, Entry& entry, const ConnectionLimits& connections,
-    PortCounters& counters, const PipelineLimits& limits)
+    PortCounters& counters, const CallerSessionOptions& options)
     : m_entry(entry)
-    , m_limits(limits)
-    , m_aheadBudget(limits)
+    , m_counters(counters)
+    , m_options(options)
+    , m_aheadBudget(options.pipeline)
     , m_gate({ io, "callers", counters, entry.dependencies().log }, connections,
           [this](auto socket, auto tracked) { accept(std::move(socket), std::move(tracked)); })
 {
@@ -23,16 +35,29 @@
 void CallerSessions::accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked)
 {
     auto& metrics = m_entry.dependencies().metrics;
-    auto session = std::make_shared<CallerSession>(m_entry, std::move(socket), std::move(tracked), m_limits,
-        m_aheadBudget, [this, &metrics](const std::shared_ptr<CallerSession>& ended) {
+    auto session = std::make_shared<CallerSession>(m_entry, std::move(socket), std::move(tracked), m_options,
+        m_aheadBudget, [this, &metrics](const std::shared_ptr<CallerSession>& ended, CloseReason reason) {
             m_sessions.erase(ended);
             metrics.recordConnectionChange(-1);
+            recordEnd(reason);
         });
     m_sessions.insert(session);
     metrics.recordConnectionChange(1);
     session->start();
 }
 
+void CallerSessions::recordEnd(CloseReason reason)
+{
+    const auto index = static_cast<std::size_t>(reason);
+    ++m_counters.ends.at(index);
+    if (!isLimit(reason))
+        return;
+    if (const auto count = m_endLines.at(index).record(util::BootClock::now()))
+        m_entry.dependencies().log.write(LogLevel::Warning, "connections",
+            { { "event", "ended" }, { "port", "callers" }, { "reason", toString(reason) },
+                { "open", m_sessions.size() }, { "count", *count } });
+}
+
 void CallerSessions::closeAfterResponses()
 {
     const auto sessions = m_sessions;
--- a/tarragonhaven/caller_sessions.h
+++ b/tarragonhaven/caller_sessions.h
@@ -5,6 +5,7 @@
 #include "tarragonhaven/pipelining/ahead_budget.h"
 #include "tarragonhaven/pipelining/caller_session.h"
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <set>
@@ -17,7 +18,7 @@
 class CallerSessions {
 public:
     CallerSessions(boost::asio::io_context& io, Entry& entry, const ConnectionLimits& connections,
-        PortCounters& counters, const PipelineLimits& limits = {});
+        PortCounters& counters, const CallerSessionOptions& options = {});
 
     // Opens the listening socket. Returns an empty text, or an error message on failure.
     std::string open(const Endpoint& endpoint);
@@ -39,11 +40,16 @@
 private:
     void accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked);
 
+    // Counts the end of a connection, and logs it if a limit was the reason.
+    void recordEnd(CloseReason reason);
+
     Entry& m_entry;
-    PipelineLimits m_limits;
+    PortCounters& m_counters;
+    CallerSessionOptions m_options;
     AheadBudget m_aheadBudget;
     ConnectionGate m_gate;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
+    std::array<LineLimiter, closeReasonCount> m_endLines;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/memory/connection_metrics.cc
+++ b/tarragonhaven/memory/connection_metrics.cc
@@ -39,6 +39,10 @@
 void addConnectionMetrics(MetricsPage& page, const ConnectionCounters& counters)
 {
     addPort(page, "callers", counters.callers);
+    for (std::size_t i = 0; i < closeReasonCount; ++i)
+        page.counter("caller_connections_ended_total", "Connections of callers that have ended, by reason.",
+            toDouble(counters.callers.ends.at(i)),
+            { { "reason", std::string(toString(static_cast<CloseReason>(i))) } });
     addPort(page, "peers", counters.peers);
     addPort(page, "operators", counters.operators);
 }
--- a/tarragonhaven/memory/port_counters.h
+++ b/tarragonhaven/memory/port_counters.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/memory/connection_stage.h"
+#include "tarragonhaven/pipelining/close_reason.h"
 
 #include <array>
 #include <atomic>
@@ -23,6 +24,8 @@
     std::atomic<std::uint64_t> refusedByAddress { 0 };
     std::atomic<std::uint64_t> refusedByDescriptors { 0 };
     std::atomic<std::uint64_t> acceptFailures { 0 };
+    // Connections of callers that have ended, by reason.
+    std::array<std::atomic<std::uint64_t>, closeReasonCount> ends {};
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/node_settings.h
+++ b/tarragonhaven/node_settings.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/memory/connection_settings.h"
+#include "tarragonhaven/memory/progress_limits.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "util/time.h"
@@ -28,6 +29,7 @@
     // How long a planned stop waits for requests in progress.
     util::Duration drainTimeout {};
     ConnectionSettings connections;
+    ProgressLimits progress;
     PipelineLimits pipeline;
 
     friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
--- a/tarragonhaven/node_settings_parse.h
+++ b/tarragonhaven/node_settings_parse.h
@@ -25,6 +25,7 @@
     int maximumConnections = 0;
     RawPipelineLimits pipeline;
     RawConnectionSettings connections;
+    RawProgressLimits progress;
 };
 
 // Parses and checks all settings. On failure, returns every fault; its path is the name of the flag.
--- a/tarragonhaven/operator_server.cc
+++ b/tarragonhaven/operator_server.cc
@@ -1,5 +1,6 @@
 #include "tarragonhaven/operator_server.h"
 
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -14,7 +15,13 @@
     using boost::system::error_code;
     using tcp = boost::asio::ip::tcp;
 
-    constexpr auto ioTimeout = std::chrono::seconds(10);
+    // The time for a whole request. Operators' clients send it at once.
+    constexpr auto requestTimeout = std::chrono::milliseconds(3500);
+    constexpr auto responseTimeout = std::chrono::seconds(10);
+    // How long, and for how many bytes, a connection is read after its response, so that unread bytes do not
+    // reset it before the client has read the response.
+    constexpr auto lingerTime = std::chrono::seconds(1);
+    constexpr std::size_t lingerBytes = 64 * 1024;
     constexpr std::size_t requestLimitBytes = 16 * 1024;
 
     // Serves one request on a connection to the operator endpoint, then closes the connection.
@@ -37,7 +44,7 @@
                 if (const auto self = weak.lock())
                     self->m_stream.close();
             });
-            m_stream.expires_after(ioTimeout);
+            m_stream.expires_after(requestTimeout);
             http::async_read_header(
                 m_stream, m_buffer, m_parser, [self = shared_from_this()](error_code error, std::size_t) {
                     if (!error)
@@ -83,10 +90,23 @@
             m_response.body() = body;
             m_response.prepare_payload();
             m_tracked->setStage(ConnectionStage::Transferring);
-            m_stream.expires_after(ioTimeout);
+            m_stream.expires_after(responseTimeout);
             http::async_write(
                 m_stream, m_response, [self = shared_from_this()](error_code error, std::size_t) {
                     self->m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+                    self->m_tracked->setStage(ConnectionStage::Idle);
+                    self->m_stream.expires_after(lingerTime);
+                    self->discard();
+                });
+        }
+
+        void discard()
+        {
+            m_stream.async_read_some(boost::asio::buffer(m_discarded),
+                [self = shared_from_this()](error_code error, std::size_t count) {
+                    self->m_discardedBytes += count;
+                    if (!error && self->m_discardedBytes <= lingerBytes)
+                        self->discard();
                 });
         }
 
@@ -97,6 +117,8 @@
         beast::flat_buffer m_buffer { requestLimitBytes };
         http::request_parser<http::empty_body> m_parser;
         http::response<http::string_body> m_response;
+        std::array<char, 1024> m_discarded {};
+        std::size_t m_discardedBytes = 0;
     };
 
 } // namespace
--- a/tarragonhaven/peer_link.cc
+++ b/tarragonhaven/peer_link.cc
@@ -1,12 +1,14 @@
-// Frames are read in two steps: first the length prefix, then the payload, into a buffer that is sized for
-// the frame, up to maximumFrameBytes, and freed afterwards. A link that has failed is closed and cannot be
-// reopened.
+// Frames are read in two steps: first the length prefix, then the payload, into a buffer that grows as the
+// bytes arrive, up to maximumFrameBytes, and is freed afterwards. So an announced length alone takes no
+// memory, and before the HelloFrame has been checked, frames are limited to its size. A link that has failed
+// is closed and cannot be reopened.
 
 #include "tarragonhaven/peer_link.h"
 
 #include "tarragonhaven/close_watch.h"
 #include "tarragonhaven/socket_options.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -21,6 +23,11 @@
     using boost::system::error_code;
     using tcp = asio::ip::tcp;
 
+    // The limit of the first frame, which contains the names of the fleet and the instance.
+    constexpr std::size_t maximumHelloBytes = 4096;
+    // How much of a frame is read at a time. Most frames are smaller.
+    constexpr std::size_t payloadStepBytes = 64 * 1024;
+
 } // namespace
 
 class PeerLink::Rep : public std::enable_shared_from_this<PeerLink::Rep> {
@@ -85,7 +92,7 @@
                     return;
                 const auto length
                     = decodeFrameLength({ self->m_lengthBuffer.data(), self->m_lengthBuffer.size() });
-                if (error || !length) {
+                if (error || !length || *length > self->m_frameLimit) {
                     self->fail(
                         error ? error.message() : "received a frame whose length is zero or above the limit");
                     return handler(std::nullopt);
@@ -135,11 +142,14 @@
 
     void readPayload(std::size_t length, const FrameHandler& handler)
     {
-        m_readBuffer.resize(length);
-        asio::async_read(m_stream, asio::buffer(m_readBuffer),
-            [self = shared_from_this(), handler](error_code error, std::size_t) {
+        const auto received = m_readBuffer.size();
+        m_readBuffer.resize(std::min(length, received + payloadStepBytes));
+        asio::async_read(m_stream, asio::buffer(m_readBuffer) + received,
+            [self = shared_from_this(), length, handler](error_code error, std::size_t) {
                 if (self->m_closed)
                     return;
+                if (!error && self->m_readBuffer.size() < length)
+                    return self->readPayload(length, handler);
                 auto frame = error ? std::nullopt : decodeFrame(self->m_readBuffer);
                 self->m_readBuffer.clear();
                 self->m_readBuffer.shrink_to_fit();
@@ -166,10 +176,16 @@
         else if (hello->fleet != m_localHello.fleet)
             fail("the peer belongs to another fleet");
         else
-            m_peerHello = *hello;
+            acceptHello(*hello);
         return m_error.empty();
     }
 
+    void acceptHello(const HelloFrame& hello)
+    {
+        m_peerHello = hello;
+        m_frameLimit = maximumFrameBytes;
+    }
+
     boost::beast::tcp_stream m_stream;
     HelloFrame m_localHello;
     HelloFrame m_peerHello;
@@ -177,6 +193,7 @@
     std::string m_readBuffer;
     std::string m_writeBuffer;
     std::string m_error;
+    std::size_t m_frameLimit = maximumHelloBytes;
     bool m_closed = false;
     CloseWatch m_watch;
 };
--- a/tarragonhaven/pipelining/caller_request.cc
+++ b/tarragonhaven/pipelining/caller_request.cc
@@ -197,6 +197,18 @@
         detail });
 }
 
+void CallerRequest::onBodyTimeout()
+{
+    if (m_response.arrived() || (m_exchange && m_exchange->mayHaveRun()))
+        return m_session->end(CloseReason::BodyTimeout);
+    if (m_exchange)
+        m_exchange->cancel();
+    // The rest of the body cannot be discarded while a part of it is being read.
+    m_closesAfterResponse = true;
+    refuse(
+        { RefusalReason::BodyTooSlow, RunState::NotRun, util::Duration {}, "the body arrived too slowly" });
+}
+
 void CallerRequest::end()
 {
     m_ended = true;
--- a/tarragonhaven/pipelining/caller_request.h
+++ b/tarragonhaven/pipelining/caller_request.h
@@ -41,6 +41,9 @@
     // Refuses the request, unless its response has arrived. `reasonIfNotRun` is the reason if no target can
     // have run it.
     void abandon(RefusalReason reasonIfNotRun, const char* detail);
+    // The caller sends the body too slowly. Refuses the request if no target has received a part of it, and
+    // otherwise ends the session.
+    void onBodyTimeout();
     // Gives up the request without a response.
     void cancel();
     // Releases what the request holds, after its response has been written.
--- a/tarragonhaven/pipelining/caller_session.cc
+++ b/tarragonhaven/pipelining/caller_session.cc
@@ -29,14 +29,13 @@
 } // namespace
 
 CallerSession::CallerSession(Entry& entry, tcp::socket socket, std::unique_ptr<TrackedConnection> tracked,
-    const PipelineLimits& limits, AheadBudget& aheadBudget, EndHandler onEnd)
-    : m_connection(
-        std::make_shared<CallerConnection>(entry, std::move(socket), std::move(tracked), limits.heldBytes))
+    const CallerSessionOptions& options, AheadBudget& aheadBudget, EndHandler onEnd)
+    : m_connection(std::make_shared<CallerConnection>(entry, std::move(socket), std::move(tracked), options))
     , m_aheadBudget(aheadBudget)
     , m_onEnd(std::move(onEnd))
-    , m_pipeline(limits.requests)
-    , m_responseSize(limits.heldBytes / maximumResponseDivisor)
-    , m_maximumHeldBytes(limits.heldBytes)
+    , m_pipeline(options.pipeline.requests)
+    , m_responseSize(options.pipeline.heldBytes / maximumResponseDivisor)
+    , m_maximumHeldBytes(options.pipeline.heldBytes)
 {
 }
 
@@ -198,6 +197,13 @@
     proceed();
 }
 
+void CallerSession::onBodyTimeout()
+{
+    // A request whose body has not been read completely is the last one.
+    if (const auto request = m_requests.empty() ? nullptr : m_requests.back())
+        request->onBodyTimeout();
+}
+
 void CallerSession::onReadingEnded(CloseReason reason)
 {
     if (reason == CloseReason::Disconnected) {
@@ -268,12 +274,13 @@
     if (reason == CloseReason::Announced && m_reader->mayReceiveMore()) {
         m_connection->stream.cancel();
         updateStage();
-        m_lingeringClose = std::make_shared<LingeringClose>(m_connection, [this, self] { m_onEnd(self); });
+        m_lingeringClose = std::make_shared<LingeringClose>(
+            m_connection, [this, self] { m_onEnd(self, CloseReason::Announced); });
         return m_lingeringClose->start();
     }
     m_connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_connection->stream.close();
-    m_onEnd(self);
+    m_onEnd(self, reason);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/pipelining/caller_session.h
+++ b/tarragonhaven/pipelining/caller_session.h
@@ -3,6 +3,7 @@
 #include "tarragonhaven/pipelining/ahead_budget.h"
 #include "tarragonhaven/pipelining/caller_connection.h"
 #include "tarragonhaven/pipelining/caller_request.h"
+#include "tarragonhaven/pipelining/caller_session_options.h"
 #include "tarragonhaven/pipelining/lingering_close.h"
 #include "tarragonhaven/pipelining/request_pipeline.h"
 #include "tarragonhaven/pipelining/request_reader.h"
@@ -28,11 +29,11 @@
 class CallerSession final : public RequestReader::Listener,
                             public std::enable_shared_from_this<CallerSession> {
 public:
-    using EndHandler = std::function<void(const std::shared_ptr<CallerSession>&)>;
+    using EndHandler = std::function<void(const std::shared_ptr<CallerSession>&, CloseReason)>;
 
     CallerSession(Entry& entry, boost::asio::ip::tcp::socket socket,
-        std::unique_ptr<TrackedConnection> tracked, const PipelineLimits& limits, AheadBudget& aheadBudget,
-        EndHandler onEnd);
+        std::unique_ptr<TrackedConnection> tracked, const CallerSessionOptions& options,
+        AheadBudget& aheadBudget, EndHandler onEnd);
     ~CallerSession();
     CallerSession(const CallerSession&) = delete;
     CallerSession& operator=(const CallerSession&) = delete;
@@ -50,6 +51,7 @@
 
     // Called by the reader.
     void onHead(ReceivedHead received) override;
+    void onBodyTimeout() override;
     void onReadingEnded(CloseReason reason) override;
 
     // Called by the requests.
--- a/tarragonhaven/pipelining/close_reason.h
+++ b/tarragonhaven/pipelining/close_reason.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace tarragonhaven {
@@ -14,6 +15,7 @@
     Stopped,
     IdleTimeout,
     HeadTimeout,
+    // The caller sent a body too slowly, of which a target may have received a part.
     BodyTimeout,
     // The body of a request is malformed or exceeds its limit.
     BodyRejected,
@@ -27,6 +29,8 @@
     ClosedForRoom,
 };
 
+inline constexpr std::size_t closeReasonCount = static_cast<std::size_t>(CloseReason::ClosedForRoom) + 1;
+
 // Returns the name of a reason in log lines, in lower case with hyphens.
 std::string_view toString(CloseReason reason);
 
--- a/tarragonhaven/pipelining/request_reader.cc
+++ b/tarragonhaven/pipelining/request_reader.cc
@@ -16,7 +16,6 @@
     namespace http = beast::http;
     using boost::system::error_code;
 
-    constexpr util::Duration bodyIdleTimeout = std::chrono::seconds(30);
     // Added to the declared idle and head timeouts, so that a request that is sent just before the timeout is
     // still accepted.
     constexpr util::Duration timeoutMargin = std::chrono::milliseconds(500);
@@ -34,6 +33,7 @@
     , m_listener(std::move(listener))
     , m_bodyReader(m_connection->stream, m_buffer)
     , m_timer(m_connection->stream.get_executor())
+    , m_bodyProgress(m_connection->options.progress)
 {
     error_code ignored;
     m_connection->stream.socket().non_blocking(true, ignored);
@@ -48,6 +48,8 @@
     m_parser->body_limit(limits.bodyBytes);
     m_buffer.max_size(std::max(limits.headBytes + bufferReserveBytes, m_buffer.size()));
     m_needsBytes = m_buffer.size() == 0;
+    m_bodyProgress = BodyProgress(m_connection->options.progress);
+    m_bodyTimedOut = false;
 }
 
 void RequestReader::proceed(bool mayReadHead, bool requestsBefore)
@@ -182,6 +184,7 @@
             if (self->m_connection->closed)
                 return;
             self->setTimer(TimerUse::None);
+            self->m_bodyProgress.recordBytes(chunk.data.size());
             if (!error && chunk.last) {
                 self->m_bodyRemaining = false;
                 self->m_bodyReader.release();
@@ -202,7 +205,7 @@
 {
     if (m_bodyRemaining) {
         if (m_readingBody)
-            return setTimer(m_requestsBefore ? TimerUse::None : TimerUse::Body);
+            return setTimer(m_requestsBefore || m_bodyTimedOut ? TimerUse::None : TimerUse::Body);
         return setTimer(m_requestsBefore ? TimerUse::CloseCheck : TimerUse::None);
     }
     if (!m_mayReadHead)
@@ -216,6 +219,9 @@
 {
     if (m_timerUse == use)
         return;
+    const auto now = util::BootClock::now();
+    if (m_timerUse == TimerUse::Body)
+        m_bodyProgress.recordWait(now - m_bodyWaitSince);
     m_timerUse = use;
     ++m_timerNumber;
     const auto& limits = m_connection->entry.callerLimits();
@@ -230,7 +236,8 @@
         m_timer.expires_after(limits.headTimeout + timeoutMargin);
         break;
     case TimerUse::Body:
-        m_timer.expires_after(bodyIdleTimeout);
+        m_bodyWaitSince = now;
+        m_timer.expires_after(m_bodyProgress.remaining());
         break;
     case TimerUse::CloseCheck:
         m_timer.expires_after(closeCheckInterval);
@@ -253,7 +260,10 @@
     case TimerUse::Head:
         return endReading(CloseReason::HeadTimeout);
     case TimerUse::Body:
-        return endReading(CloseReason::BodyTimeout);
+        m_bodyTimedOut = true;
+        if (const auto listener = m_listener.lock())
+            listener->onBodyTimeout();
+        return;
     case TimerUse::CloseCheck:
         if (isClosedByPeer(m_connection->stream.socket()))
             return endReading(CloseReason::Disconnected);
--- a/tarragonhaven/pipelining/request_reader.h
+++ b/tarragonhaven/pipelining/request_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "tarragonhaven/body_reader.h"
+#include "tarragonhaven/memory/body_progress.h"
 #include "tarragonhaven/message_parser.h"
 #include "tarragonhaven/pipelining/caller_connection.h"
 #include "tarragonhaven/pipelining/close_reason.h"
@@ -26,6 +27,9 @@
         // Called with each head, or with the refusal of what is no request; after a refusal nothing more may
         // be read.
         virtual void onHead(ReceivedHead received) = 0;
+        // The caller sends the body of the latest request more slowly than ProgressLimits require. Called
+        // once for each body, which is still being read.
+        virtual void onBodyTimeout() = 0;
         // The caller has closed the connection, or has not sent anything in time.
         virtual void onReadingEnded(CloseReason reason) = 0;
 
@@ -89,6 +93,8 @@
     BodyReader m_bodyReader;
     std::optional<Parser> m_parser;
     boost::asio::steady_timer m_timer;
+    BodyProgress m_bodyProgress;
+    util::Time m_bodyWaitSince {};
     TimerUse m_timerUse = TimerUse::None;
     // Tells a timer that expired before it was set again.
     unsigned long m_timerNumber = 0;
@@ -96,6 +102,7 @@
     bool m_requestsBefore = false;
     bool m_bodyRemaining = false;
     bool m_readingBody = false;
+    bool m_bodyTimedOut = false;
     // Whether a wait for bytes is pending, and whether the parser has seen all bytes of the buffer.
     bool m_awaitingBytes = false;
     bool m_needsBytes = true;
--- a/tarragonhaven/pipelining/response_writer.cc
+++ b/tarragonhaven/pipelining/response_writer.cc
@@ -13,7 +13,6 @@
     namespace http = boost::beast::http;
     using boost::system::error_code;
 
-    constexpr util::Duration writeTimeout = std::chrono::seconds(60);
     constexpr unsigned httpVersion11 = 11;
     constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -27,7 +26,7 @@
 void ResponseWriter::begin()
 {
     m_busy = true;
-    m_connection->stream.expires_after(writeTimeout);
+    m_connection->stream.expires_after(m_connection->options.progress.responseTimeout);
 }
 
 void ResponseWriter::finish(error_code error, const Handler& handler)
--- a/tarragonhaven/refusal.cc
+++ b/tarragonhaven/refusal.cc
@@ -51,6 +51,7 @@
         { RefusalReason::CrashesTargets, "crashes-targets", 503 },
         { RefusalReason::TargetEvacuated, "target-evacuated", 503 },
         { RefusalReason::RegionNotAllowed, "region-not-allowed", 503 },
+        { RefusalReason::BodyTooSlow, "body-too-slow", 408 },
     } };
 
     const ReasonRow& rowOf(RefusalReason reason)
--- a/tarragonhaven/refusal.h
+++ b/tarragonhaven/refusal.h
@@ -62,6 +62,8 @@
     TargetEvacuated,
     // No target of the service is in a region that the request may be sent to.
     RegionNotAllowed,
+    // The caller sent the body more slowly than ProgressLimits require.
+    BodyTooSlow,
 };
 
 // The outcome that a caller gets instead of a target's response.
@@ -88,6 +90,6 @@
 std::string_view toString(RunState run);
 
 // The number of reasons. The values of the enumerators range from 0 to refusalReasonCount - 1.
-inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::RegionNotAllowed) + 1;
+inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::BodyTooSlow) + 1;
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -65,6 +65,12 @@
     "Limits: share of the connections of a port that may come from one address, 0.01 to 1.");
 ABSL_FLAG(double, reserved_descriptors, 200,
     "Limits: descriptors that no accepted connection uses, 32 to 1000000.");
+ABSL_FLAG(double, body_bytes_per_second, 200,
+    "Limits: rate at which a caller must send a body in the long run, 1 to 1000000.");
+ABSL_FLAG(
+    double, body_grace_seconds, 20, "Limits: how long a body may be late against that rate, 0.1 to 3600 s.");
+ABSL_FLAG(double, response_timeout_seconds, 30,
+    "Limits: how long a part of a response may wait to be read by its caller, 0.1 to 3600 s.");
 
 namespace tarragonhaven {
 
@@ -97,7 +103,9 @@
             { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) },
             { absl::GetFlag(FLAGS_caller_connections), absl::GetFlag(FLAGS_peer_connections),
                 absl::GetFlag(FLAGS_operator_connections), absl::GetFlag(FLAGS_address_share),
-                absl::GetFlag(FLAGS_reserved_descriptors) } };
+                absl::GetFlag(FLAGS_reserved_descriptors) },
+            { absl::GetFlag(FLAGS_body_bytes_per_second), absl::GetFlag(FLAGS_body_grace_seconds),
+                absl::GetFlag(FLAGS_response_timeout_seconds) } };
     }
 
     util::Faults applyEnvironment()
@@ -109,7 +117,8 @@
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
                 "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions",
                 "pipeline_requests", "pipeline_bytes", "caller_connections", "peer_connections",
-                "operator_connections", "address_share", "reserved_descriptors" });
+                "operator_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
+                "body_grace_seconds", "response_timeout_seconds" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -67,6 +67,7 @@
     settings.regions = parseRegionTable(raw.regions, "regions", faults);
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     settings.connections = parseConnectionSettings(raw.connections, faults);
+    settings.progress = parseProgressLimits(raw.progress, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
     return settings;
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/memory/connection_settings.h"
+#include "tarragonhaven/memory/progress_limits.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "util/error.h"
@@ -37,6 +38,7 @@
     RegionTable regions;
     PipelineLimits pipeline;
     ConnectionSettings connections;
+    ProgressLimits progress;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -71,6 +73,7 @@
     std::string regions;
     RawPipelineLimits pipeline;
     RawConnectionSettings connections;
+    RawProgressLimits progress;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -116,7 +116,8 @@
           entryOptions(m_dependencies.settings, m_dependencies.headerNames), &m_admission })
     , m_evacuations(m_dependencies.settings.instance)
     , m_callers(m_thread.io(), m_entry, m_dependencies.connections.callers,
-          m_dependencies.state.connections.callers, m_dependencies.settings.pipeline)
+          m_dependencies.state.connections.callers,
+          CallerSessionOptions { m_dependencies.settings.pipeline, m_dependencies.settings.progress })
     , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello, m_dependencies.connections.peers,
           m_dependencies.state.connections.peers, m_dependencies.log)
     , m_status(m_thread.io(), [this] { return sources(); })
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -38,6 +38,12 @@
     "Limits: share of the connections of a port that may come from one address, 0.01 to 1.");
 ABSL_FLAG(double, reserved_descriptors, 200,
     "Limits: descriptors that no accepted connection uses, 32 to 1000000.");
+ABSL_FLAG(double, body_bytes_per_second, 200,
+    "Limits: rate at which a caller must send a body in the long run, 1 to 1000000.");
+ABSL_FLAG(
+    double, body_grace_seconds, 20, "Limits: how long a body may be late against that rate, 0.1 to 3600 s.");
+ABSL_FLAG(double, response_timeout_seconds, 30,
+    "Limits: how long a part of a response may wait to be read by its caller, 0.1 to 3600 s.");
 ABSL_FLAG(double, pipeline_requests, 16,
     "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
 ABSL_FLAG(double, pipeline_bytes, 4194304,
@@ -66,7 +72,9 @@
         absl::GetFlag(FLAGS_drain_seconds), absl::GetFlag(FLAGS_maximum_connections),
         { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) },
         { 0, absl::GetFlag(FLAGS_peer_connections), absl::GetFlag(FLAGS_operator_connections),
-            absl::GetFlag(FLAGS_address_share), absl::GetFlag(FLAGS_reserved_descriptors) } };
+            absl::GetFlag(FLAGS_address_share), absl::GetFlag(FLAGS_reserved_descriptors) },
+        { absl::GetFlag(FLAGS_body_bytes_per_second), absl::GetFlag(FLAGS_body_grace_seconds),
+            absl::GetFlag(FLAGS_response_timeout_seconds) } };
 }
 
 int reportFaults(const util::Faults& faults)
@@ -85,7 +93,8 @@
         { "fleet", "instance", "data_centre", "caller_address", "peer_address", "operator_address",
             "platform_address", "seed_peers", "log_level", "log_lines_per_second", "log_bytes_per_second",
             "drain_seconds", "maximum_connections", "pipeline_requests", "pipeline_bytes", "peer_connections",
-            "operator_connections", "address_share", "reserved_descriptors" });
+            "operator_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
+            "body_grace_seconds", "response_timeout_seconds" });
     const auto positional = absl::ParseCommandLine(argumentCount, arguments);
     if (positional.size() > 1)
         return reportFaults({ { positional[1], "is not a flag" } });
--- a/tarragonhaven/testing/entry_node.h
+++ b/tarragonhaven/testing/entry_node.h
@@ -23,6 +23,7 @@
     std::size_t bufferedResponseBytes = 1024 * 1024;
     CallerLimits callerLimits;
     PipelineLimits pipeline;
+    ProgressLimits progress;
 };
 
 // The part of a sidecar node that forwards requests: an entry that serves callers over sockets, and the guard
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -52,6 +52,7 @@
     raw.regions = "north";
     raw.pipeline = { 0, 1000 };
     raw.connections = { -1, 1e9, 0, 2, 1 };
+    raw.progress = { 0, 0, 4000 };
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -61,5 +62,6 @@
         == std::set<std::string> { "service", "metrics_address", "log_level", "log_bytes_per_second",
             "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms", "cold_overshoot",
             "cold_slack", "regions", "pipeline_requests", "pipeline_bytes", "caller_connections",
-            "peer_connections", "address_share", "reserved_descriptors" });
+            "peer_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
+            "body_grace_seconds", "response_timeout_seconds" });
 }
