Limit the header fields of a request and their memory

Callers saw: a head of legal size (16 kB) of very short fields was accepted, although it takes about 40 times its size once it is parsed: 60 such requests took 10 MB of a node.

Cause: only the size of a head was limited, and memory for heads that were read ahead was counted from the lengths of their texts.

Change: MessageParser fails at the first field beyond 200, or beyond 96 kB as fieldCost() counts what Beast and RequestHead allocate for each field. The request is refused with 431. The same cost counts heads that are read ahead. Responses of targets have no such limit.

Ruled out: a lower limit on the size of heads, which is declared and which ordinary callers use.

Measured: 199 short fields and a Host field pass, 201 fields fail, as do 3,000 (431 in a trial over a socket); a head of one field of 16,000 bytes and one of 100 fields of 148 bytes pass. For 1,000 random fields the counted memory is between one and two times the allocations. It works because parsing stops before the fields beyond the limit are stored.

--- a/tarragonhaven/node_settings.h
+++ b/tarragonhaven/node_settings.h
@@ -4,6 +4,7 @@
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/memory/connection_settings.h"
+#include "tarragonhaven/memory/head_limits.h"
 #include "tarragonhaven/memory/progress_limits.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
@@ -30,6 +31,7 @@
     util::Duration drainTimeout {};
     ConnectionSettings connections;
     ProgressLimits progress;
+    HeadLimits heads;
     PipelineLimits pipeline;
 
     friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
--- a/tarragonhaven/node_settings_parse.cc
+++ b/tarragonhaven/node_settings_parse.cc
@@ -50,6 +50,7 @@
         faults.push_back({ "maximum_connections", "must be from 1 to 100000" });
     settings.connections = parseConnectionSettings(raw.connections, faults);
     settings.progress = parseProgressLimits(raw.progress, faults);
+    settings.heads = parseHeadLimits(raw.heads, faults);
     settings.connections.callers = static_cast<std::size_t>(std::max(raw.maximumConnections, 1));
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     checkDistinctAddresses(settings, faults);
--- a/tarragonhaven/node_settings_parse.h
+++ b/tarragonhaven/node_settings_parse.h
@@ -26,6 +26,7 @@
     RawPipelineLimits pipeline;
     RawConnectionSettings connections;
     RawProgressLimits progress;
+    RawHeadLimits heads;
 };
 
 // Parses and checks all settings. On failure, returns every fault; its path is the name of the flag.
--- a/tarragonhaven/node_traffic.cc
+++ b/tarragonhaven/node_traffic.cc
@@ -36,7 +36,8 @@
           m_dependencies.localHello.incarnation, EntryOptions {} })
     , m_callers(m_thread.io(), m_entry, m_dependencies.connections.callers,
           m_dependencies.state.connections.callers,
-          CallerSessionOptions { m_dependencies.settings.pipeline, m_dependencies.settings.progress })
+          CallerSessionOptions { m_dependencies.settings.pipeline, m_dependencies.settings.progress,
+              m_dependencies.settings.heads })
     , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello, m_dependencies.connections.peers,
           m_dependencies.state.connections.peers, m_dependencies.log)
     , m_status(m_thread.io(), [this] { return sources(); })
--- a/tarragonhaven/pipelining/caller_session.cc
+++ b/tarragonhaven/pipelining/caller_session.cc
@@ -1,5 +1,7 @@
 #include "tarragonhaven/pipelining/caller_session.h"
 
+#include "tarragonhaven/memory/head_cost.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,14 +20,6 @@
     // What a request that was read ahead takes beside its head.
     constexpr std::size_t requestBytes = sizeof(CallerRequest) + 2048;
 
-    std::size_t memoryOf(const RequestHead& head)
-    {
-        std::size_t bytes = requestBytes + head.method.size() + head.target.size() + head.host.size();
-        for (const auto& field : head.fields)
-            bytes += sizeof(HeaderField) + field.name.size() + field.value.size();
-        return bytes;
-    }
-
 } // namespace
 
 CallerSession::CallerSession(Entry& entry, tcp::socket socket, std::unique_ptr<TrackedConnection> tracked,
@@ -187,7 +181,7 @@
     const auto traits = ahead ? traitsOf(received) : RequestPipeline::Traits {};
     const bool readsBody
         = traits.idempotent && !traits.complete && !received.refusal && !received.expectsContinue;
-    const auto aheadBytes = ahead ? memoryOf(received.head) : 0;
+    const auto aheadBytes = ahead ? requestBytes + headCost(received.head) : 0;
     const auto request
         = std::make_shared<CallerRequest>(shared_from_this(), number, std::move(received), aheadBytes);
     m_requests.push_back(request);
--- a/tarragonhaven/pipelining/caller_session_options.h
+++ b/tarragonhaven/pipelining/caller_session_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/memory/head_limits.h"
 #include "tarragonhaven/memory/progress_limits.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
 
@@ -9,6 +10,7 @@
 struct CallerSessionOptions {
     PipelineLimits pipeline;
     ProgressLimits progress;
+    HeadLimits heads;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/pipelining/request_reader.cc
+++ b/tarragonhaven/pipelining/request_reader.cc
@@ -46,6 +46,7 @@
     m_parser.emplace();
     m_parser->header_limit(limits.headBytes);
     m_parser->body_limit(limits.bodyBytes);
+    m_parser->limitFields(m_connection->options.heads);
     m_buffer.max_size(std::max(limits.headBytes + bufferReserveBytes, m_buffer.size()));
     m_needsBytes = m_buffer.size() == 0;
     m_bodyProgress = BodyProgress(m_connection->options.progress);
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -71,6 +71,9 @@
     double, body_grace_seconds, 20, "Limits: how long a body may be late against that rate, 0.1 to 3600 s.");
 ABSL_FLAG(double, response_timeout_seconds, 30,
     "Limits: how long a part of a response may wait to be read by its caller, 0.1 to 3600 s.");
+ABSL_FLAG(double, head_fields, 200, "Limits: header fields of a request, 16 to 10000.");
+ABSL_FLAG(double, head_memory_bytes, 98304,
+    "Limits: memory of the parsed header fields of a request, 49152 to 16777216 bytes.");
 
 namespace tarragonhaven {
 
@@ -105,7 +108,8 @@
                 absl::GetFlag(FLAGS_operator_connections), absl::GetFlag(FLAGS_address_share),
                 absl::GetFlag(FLAGS_reserved_descriptors) },
             { absl::GetFlag(FLAGS_body_bytes_per_second), absl::GetFlag(FLAGS_body_grace_seconds),
-                absl::GetFlag(FLAGS_response_timeout_seconds) } };
+                absl::GetFlag(FLAGS_response_timeout_seconds) },
+            { absl::GetFlag(FLAGS_head_fields), absl::GetFlag(FLAGS_head_memory_bytes) } };
     }
 
     util::Faults applyEnvironment()
@@ -118,7 +122,7 @@
                 "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions",
                 "pipeline_requests", "pipeline_bytes", "caller_connections", "peer_connections",
                 "operator_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
-                "body_grace_seconds", "response_timeout_seconds" });
+                "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -68,6 +68,7 @@
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     settings.connections = parseConnectionSettings(raw.connections, faults);
     settings.progress = parseProgressLimits(raw.progress, faults);
+    settings.heads = parseHeadLimits(raw.heads, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
     return settings;
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
 #include "tarragonhaven/memory/connection_settings.h"
+#include "tarragonhaven/memory/head_limits.h"
 #include "tarragonhaven/memory/progress_limits.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
@@ -39,6 +40,7 @@
     PipelineLimits pipeline;
     ConnectionSettings connections;
     ProgressLimits progress;
+    HeadLimits heads;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -74,6 +76,7 @@
     RawPipelineLimits pipeline;
     RawConnectionSettings connections;
     RawProgressLimits progress;
+    RawHeadLimits heads;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -44,6 +44,9 @@
     double, body_grace_seconds, 20, "Limits: how long a body may be late against that rate, 0.1 to 3600 s.");
 ABSL_FLAG(double, response_timeout_seconds, 30,
     "Limits: how long a part of a response may wait to be read by its caller, 0.1 to 3600 s.");
+ABSL_FLAG(double, head_fields, 200, "Limits: header fields of a request, 16 to 10000.");
+ABSL_FLAG(double, head_memory_bytes, 98304,
+    "Limits: memory of the parsed header fields of a request, 49152 to 16777216 bytes.");
 ABSL_FLAG(double, pipeline_requests, 16,
     "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
 ABSL_FLAG(double, pipeline_bytes, 4194304,
@@ -74,7 +77,8 @@
         { 0, absl::GetFlag(FLAGS_peer_connections), absl::GetFlag(FLAGS_operator_connections),
             absl::GetFlag(FLAGS_address_share), absl::GetFlag(FLAGS_reserved_descriptors) },
         { absl::GetFlag(FLAGS_body_bytes_per_second), absl::GetFlag(FLAGS_body_grace_seconds),
-            absl::GetFlag(FLAGS_response_timeout_seconds) } };
+            absl::GetFlag(FLAGS_response_timeout_seconds) },
+        { absl::GetFlag(FLAGS_head_fields), absl::GetFlag(FLAGS_head_memory_bytes) } };
 }
 
 int reportFaults(const util::Faults& faults)
@@ -94,7 +98,7 @@
             "platform_address", "seed_peers", "log_level", "log_lines_per_second", "log_bytes_per_second",
             "drain_seconds", "maximum_connections", "pipeline_requests", "pipeline_bytes", "peer_connections",
             "operator_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
-            "body_grace_seconds", "response_timeout_seconds" });
+            "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes" });
     const auto positional = absl::ParseCommandLine(argumentCount, arguments);
     if (positional.size() > 1)
         return reportFaults({ { positional[1], "is not a flag" } });
--- a/tarragonhaven/testing/entry_node.cc
+++ b/tarragonhaven/testing/entry_node.cc
@@ -73,7 +73,7 @@
     , m_entry({ m_thread.io(), m_guard, m_peers, m_admission, m_log, m_metrics, self, { "dc1" }, 1,
           entryOptions(options) })
     , m_callers(m_thread.io(), m_entry, ConnectionLimits { maximumConnections, maximumConnections, 100'000 },
-          m_counters, CallerSessionOptions { options.pipeline, options.progress })
+          m_counters, CallerSessionOptions { options.pipeline, options.progress, {} })
 {
     std::vector<Target> directoryTargets;
     for (const auto& [name, address] : targets) {
