--- a/tarragonhaven/pipelining/caller_request.cc
+++ b/tarragonhaven/pipelining/caller_request.cc
@@ -197,6 +197,18 @@
         detail });
 }
 
+void CallerRequest::onBodyTimeout()
+{
+    if (m_response.arrived() || (m_exchange && m_exchange->mayHaveRun()))
+        return m_session->end(CloseReason::BodyTimeout);
+    if (m_exchange)
+        m_exchange->cancel();
+    // The rest of the body cannot be discarded while a part of it is being read.
+    m_closesAfterResponse = true;
+    refuse(
+        { RefusalReason::BodyTooSlow, RunState::NotRun, util::Duration {}, "the body arrived too slowly" });
+}
+
 void CallerRequest::end()
 {
     m_ended = true;
@@ -227,6 +239,7 @@
         [self = shared_from_this(), handler = std::move(handler)](error_code error, BodyChunk chunk) {
             if (self->m_ended)
                 return;
+            self->m_session->recordProgress();
             if (error && RequestReader::isConnectionLost(error))
                 return self->m_session->onReadingEnded(CloseReason::Disconnected);
             if (error)
@@ -237,6 +250,7 @@
             if (last)
                 self->m_session->proceed();
         });
+    m_session->updateStage();
 }
 
 void CallerRequest::readBody(std::function<void(bool, BodyChunk)> handler)
@@ -403,6 +417,7 @@
 {
     if (!written)
         return m_session->end(CloseReason::WriteFailed);
+    m_session->recordProgress();
     m_session->proceed();
 }
 
--- a/tarragonhaven/pipelining/caller_session.cc
+++ b/tarragonhaven/pipelining/caller_session.cc
@@ -1,5 +1,7 @@
 #include "tarragonhaven/pipelining/caller_session.h"
 
+#include "tarragonhaven/memory/head_cost.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,24 +20,16 @@
     // What a request that was read ahead takes beside its head.
     constexpr std::size_t requestBytes = sizeof(CallerRequest) + 2048;
 
-    std::size_t memoryOf(const RequestHead& head)
-    {
-        std::size_t bytes = requestBytes + head.method.size() + head.target.size() + head.host.size();
-        for (const auto& field : head.fields)
-            bytes += sizeof(HeaderField) + field.name.size() + field.value.size();
-        return bytes;
-    }
-
 } // namespace
 
-CallerSession::CallerSession(Entry& entry, tcp::socket socket, const PipelineLimits& limits,
-    AheadBudget& aheadBudget, EndHandler onEnd)
-    : m_connection(std::make_shared<CallerConnection>(entry, std::move(socket), limits.heldBytes))
+CallerSession::CallerSession(Entry& entry, tcp::socket socket, std::unique_ptr<TrackedConnection> tracked,
+    const CallerSessionOptions& options, AheadBudget& aheadBudget, EndHandler onEnd)
+    : m_connection(std::make_shared<CallerConnection>(entry, std::move(socket), std::move(tracked), options))
     , m_aheadBudget(aheadBudget)
     , m_onEnd(std::move(onEnd))
-    , m_pipeline(limits.requests)
-    , m_responseSize(limits.heldBytes / maximumResponseDivisor)
-    , m_maximumHeldBytes(limits.heldBytes)
+    , m_pipeline(options.pipeline.requests)
+    , m_responseSize(options.pipeline.heldBytes / maximumResponseDivisor)
+    , m_maximumHeldBytes(options.pipeline.heldBytes)
 {
 }
 
@@ -45,6 +39,10 @@
 {
     error_code ignored;
     m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    m_connection->tracked->onClose([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->makeRoom();
+    });
     m_reader = std::make_shared<RequestReader>(m_connection, weak_from_this());
     m_writer = std::make_shared<ResponseWriter>(m_connection);
     proceed();
@@ -72,6 +70,29 @@
     end(CloseReason::Stopped);
 }
 
+void CallerSession::makeRoom()
+{
+    if (const auto lingeringClose = m_lingeringClose)
+        return lingeringClose->close();
+    end(CloseReason::ClosedForRoom);
+}
+
+ConnectionStage CallerSession::stage() const
+{
+    if (m_requests.empty())
+        return m_answered ? ConnectionStage::Idle : ConnectionStage::New;
+    const bool awaitsBody = m_reader->readingBody() && m_requests.size() == 1;
+    return m_writer->busy() || awaitsBody ? ConnectionStage::Transferring : ConnectionStage::Running;
+}
+
+void CallerSession::updateStage() { m_connection->tracked->setStage(stage()); }
+
+void CallerSession::recordProgress()
+{
+    updateStage();
+    m_connection->tracked->recordProgress();
+}
+
 bool CallerSession::busy() const { return !m_requests.empty() || m_reader->headBegun() || m_lingeringClose; }
 
 bool CallerSession::mayHoldMore() const
@@ -127,6 +148,7 @@
         m_reader->proceed(mayReadHead(), m_pipeline.size() > beingRead);
     } while (m_proceedAgain);
     m_proceeding = false;
+    updateStage();
 }
 
 void CallerSession::startRequests()
@@ -159,7 +181,7 @@
     const auto traits = ahead ? traitsOf(received) : RequestPipeline::Traits {};
     const bool readsBody
         = traits.idempotent && !traits.complete && !received.refusal && !received.expectsContinue;
-    const auto aheadBytes = ahead ? memoryOf(received.head) : 0;
+    const auto aheadBytes = ahead ? requestBytes + headCost(received.head) : 0;
     const auto request
         = std::make_shared<CallerRequest>(shared_from_this(), number, std::move(received), aheadBytes);
     m_requests.push_back(request);
@@ -169,6 +191,13 @@
     proceed();
 }
 
+void CallerSession::onBodyTimeout()
+{
+    // A request whose body has not been read completely is the last one.
+    if (const auto request = m_requests.empty() ? nullptr : m_requests.back())
+        request->onBodyTimeout();
+}
+
 void CallerSession::onReadingEnded(CloseReason reason)
 {
     if (reason == CloseReason::Disconnected) {
@@ -206,6 +235,7 @@
     const auto answered = m_requests.front();
     m_requests.pop_front();
     m_pipeline.finishFront();
+    m_answered = true;
     answered->end();
     if (closeAnnounced || m_pipeline.done())
         return end(CloseReason::Announced);
@@ -237,12 +267,14 @@
     error_code ignored;
     if (reason == CloseReason::Announced && m_reader->mayReceiveMore()) {
         m_connection->stream.cancel();
-        m_lingeringClose = std::make_shared<LingeringClose>(m_connection, [this, self] { m_onEnd(self); });
+        updateStage();
+        m_lingeringClose = std::make_shared<LingeringClose>(
+            m_connection, [this, self] { m_onEnd(self, CloseReason::Announced); });
         return m_lingeringClose->start();
     }
     m_connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     m_connection->stream.close();
-    m_onEnd(self);
+    m_onEnd(self, reason);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/pipelining/caller_session.h
+++ b/tarragonhaven/pipelining/caller_session.h
@@ -3,6 +3,7 @@
 #include "tarragonhaven/pipelining/ahead_budget.h"
 #include "tarragonhaven/pipelining/caller_connection.h"
 #include "tarragonhaven/pipelining/caller_request.h"
+#include "tarragonhaven/pipelining/caller_session_options.h"
 #include "tarragonhaven/pipelining/lingering_close.h"
 #include "tarragonhaven/pipelining/request_pipeline.h"
 #include "tarragonhaven/pipelining/request_reader.h"
@@ -28,9 +29,10 @@
 class CallerSession final : public RequestReader::Listener,
                             public std::enable_shared_from_this<CallerSession> {
 public:
-    using EndHandler = std::function<void(const std::shared_ptr<CallerSession>&)>;
+    using EndHandler = std::function<void(const std::shared_ptr<CallerSession>&, CloseReason)>;
 
-    CallerSession(Entry& entry, boost::asio::ip::tcp::socket socket, const PipelineLimits& limits,
+    CallerSession(Entry& entry, boost::asio::ip::tcp::socket socket,
+        std::unique_ptr<TrackedConnection> tracked, const CallerSessionOptions& options,
         AheadBudget& aheadBudget, EndHandler onEnd);
     ~CallerSession();
     CallerSession(const CallerSession&) = delete;
@@ -49,6 +51,7 @@
 
     // Called by the reader.
     void onHead(ReceivedHead received) override;
+    void onBodyTimeout() override;
     void onReadingEnded(CloseReason reason) override;
 
     // Called by the requests.
@@ -67,6 +70,10 @@
     [[nodiscard]] bool mayHoldMore() const;
     // Starts, writes and reads what may be started, written and read now.
     void proceed();
+    // Records what the session waits for. To be called when that may have changed.
+    void updateStage();
+    // Records that a part of a body has arrived or was written.
+    void recordProgress();
     // The response to a request closes the connection. Gives up the requests behind it.
     void closeAfter(RequestPipeline::Number number);
     // The body of a request that was read ahead cannot be read. The request gets no response, and the
@@ -79,6 +86,9 @@
     void end(CloseReason reason);
 
 private:
+    // Closes the connection so that another can be accepted.
+    void makeRoom();
+    [[nodiscard]] ConnectionStage stage() const;
     [[nodiscard]] bool mayReadHead() const;
     [[nodiscard]] RequestPipeline::Traits traitsOf(const ReceivedHead& received) const;
     void startRequests();
@@ -95,6 +105,8 @@
     std::shared_ptr<ResponseWriter> m_writer;
     std::deque<std::shared_ptr<CallerRequest>> m_requests;
     std::shared_ptr<LingeringClose> m_lingeringClose;
+    // Whether a response was written completely.
+    bool m_answered = false;
     bool m_proceeding = false;
     bool m_proceedAgain = false;
 };
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -59,6 +59,25 @@
     "Spill-over: whether the share of requests that other data centres get follows from the load of all.");
 ABSL_FLAG(double, spill_seconds_per_megabyte, 0.05,
     "Spill-over: the wait in seconds that a megabyte sent to another data centre is worth, 0 to 1000.");
+ABSL_FLAG(double, caller_connections, 0,
+    "Limits: maximum open connections of callers, 0 to 1000000; 0 derives it from the descriptors.");
+ABSL_FLAG(double, peer_connections, 0,
+    "Limits: maximum open links from other nodes, 0 to 1000000; 0 derives it from the descriptors.");
+ABSL_FLAG(double, operator_connections, 0,
+    "Limits: maximum open connections to the operator endpoint, 0 to 1000000; 0 derives it.");
+ABSL_FLAG(double, address_share, 0.95,
+    "Limits: share of the connections of a port that may come from one address, 0.01 to 1.");
+ABSL_FLAG(double, reserved_descriptors, 200,
+    "Limits: descriptors that no accepted connection uses, 32 to 1000000.");
+ABSL_FLAG(double, body_bytes_per_second, 200,
+    "Limits: rate at which a caller must send a body in the long run, 1 to 1000000.");
+ABSL_FLAG(
+    double, body_grace_seconds, 20, "Limits: how long a body may be late against that rate, 0.1 to 3600 s.");
+ABSL_FLAG(double, response_timeout_seconds, 30,
+    "Limits: how long a part of a response may wait to be read by its caller, 0.1 to 3600 s.");
+ABSL_FLAG(double, head_fields, 200, "Limits: header fields of a request, 16 to 10000.");
+ABSL_FLAG(double, head_memory_bytes, 98304,
+    "Limits: memory of the parsed header fields of a request, 49152 to 16777216 bytes.");
 
 namespace tarragonhaven {
 
@@ -89,7 +108,13 @@
             absl::GetFlag(FLAGS_evacuation_ms), absl::GetFlag(FLAGS_cold_overshoot),
             absl::GetFlag(FLAGS_cold_slack), absl::GetFlag(FLAGS_regions),
             { absl::GetFlag(FLAGS_pipeline_requests), absl::GetFlag(FLAGS_pipeline_bytes) },
-            { absl::GetFlag(FLAGS_spillover), absl::GetFlag(FLAGS_spill_seconds_per_megabyte) } };
+            { absl::GetFlag(FLAGS_spillover), absl::GetFlag(FLAGS_spill_seconds_per_megabyte) },
+            { absl::GetFlag(FLAGS_caller_connections), absl::GetFlag(FLAGS_peer_connections),
+                absl::GetFlag(FLAGS_operator_connections), absl::GetFlag(FLAGS_address_share),
+                absl::GetFlag(FLAGS_reserved_descriptors) },
+            { absl::GetFlag(FLAGS_body_bytes_per_second), absl::GetFlag(FLAGS_body_grace_seconds),
+                absl::GetFlag(FLAGS_response_timeout_seconds) },
+            { absl::GetFlag(FLAGS_head_fields), absl::GetFlag(FLAGS_head_memory_bytes) } };
     }
 
     util::Faults applyEnvironment()
@@ -100,7 +125,10 @@
                 "log_lines_per_second", "log_bytes_per_second", "quota_window_seconds", "quota_overshoot",
                 "quota_slack", "retry_window_seconds", "retry_share", "retry_slack", "floor_share",
                 "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions",
-                "pipeline_requests", "pipeline_bytes", "spillover", "spill_seconds_per_megabyte" });
+                "pipeline_requests", "pipeline_bytes", "spillover", "spill_seconds_per_megabyte",
+                "caller_connections", "peer_connections", "operator_connections", "address_share",
+                "reserved_descriptors", "body_bytes_per_second", "body_grace_seconds",
+                "response_timeout_seconds", "head_fields", "head_memory_bytes" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -69,6 +69,9 @@
     requireRange(raw.spill.secondsPerMegabyte, 0, 1000, "spill_seconds_per_megabyte", faults);
     settings.spill = raw.spill;
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
+    settings.connections = parseConnectionSettings(raw.connections, faults);
+    settings.progress = parseProgressLimits(raw.progress, faults);
+    settings.heads = parseHeadLimits(raw.heads, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
     return settings;
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -5,6 +5,9 @@
 #include "tarragonhaven/fleet_policy.h"
 #include "tarragonhaven/log_budget.h"
 #include "tarragonhaven/log_line.h"
+#include "tarragonhaven/memory/connection_settings.h"
+#include "tarragonhaven/memory/head_limits.h"
+#include "tarragonhaven/memory/progress_limits.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
 #include "tarragonhaven/spillover/spill_options.h"
@@ -37,6 +40,9 @@
     RegionTable regions;
     PipelineLimits pipeline;
     SpillOptions spill;
+    ConnectionSettings connections;
+    ProgressLimits progress;
+    HeadLimits heads;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -71,6 +77,9 @@
     std::string regions;
     RawPipelineLimits pipeline;
     SpillOptions spill;
+    RawConnectionSettings connections;
+    RawProgressLimits progress;
+    RawHeadLimits heads;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
