Send requests ahead in the soak

What callers saw: nothing; no caller of the soak sent a request before the one before it was answered, so that nothing checked pipelining by real processes, beside other faults.

--- a/tarragonhaven/testing/http_caller.cc
+++ b/tarragonhaven/testing/http_caller.cc
@@ -140,6 +140,27 @@
     return response;
 }
 
+std::vector<CallerResponse> HttpCaller::sendAhead(const std::vector<CallerRequest>& requests)
+{
+    std::vector<CallerResponse> responses;
+    if (!m_rep->connect())
+        return responses;
+    // The node may have closed the connection after an earlier request, whose response can still be read.
+    for (const auto& request : requests) {
+        if (!m_rep->write(request))
+            break;
+    }
+    for (const auto& request : requests) {
+        auto response = m_rep->connected ? m_rep->read(request.method) : std::nullopt;
+        if (!response) {
+            m_rep->disconnect();
+            break;
+        }
+        responses.push_back(std::move(*response));
+    }
+    return responses;
+}
+
 std::string HttpCaller::sendRaw(const std::string& bytes, int readTimeoutMs)
 {
     std::string received;
--- a/tarragonhaven/testing/http_caller.h
+++ b/tarragonhaven/testing/http_caller.h
@@ -46,6 +46,9 @@
     // the head of the response was complete. The Host field is the server's address unless the request has
     // one.
     std::optional<CallerResponse> send(const CallerRequest& request);
+    // Sends all requests at once and then reads their responses. Returns those that arrived, in the order of
+    // their arrival: fewer than the requests if the connection failed, timed out or was closed.
+    std::vector<CallerResponse> sendAhead(const std::vector<CallerRequest>& requests);
     // Sends bytes unchanged and returns everything received until the server closes the connection or sends
     // nothing for `readTimeoutMs`. Closes the connection; returns an empty string if connecting failed.
     std::string sendRaw(const std::string& bytes, int readTimeoutMs);
