--- a/tarragonhaven/testing/spill_plan_test.cc
+++ b/tarragonhaven/testing/spill_plan_test.cc
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/spillover/load_estimate.h"
 #include "tarragonhaven/spillover/service_spill.h"
+#include "tarragonhaven/spillover/spill_log.h"
 #include "tarragonhaven/target_chooser.h"
 
 #include <algorithm>
@@ -141,6 +142,14 @@
     follow(input, 5);
     CHECK(total() > 0.4);
     CHECK(follow(input, 300) <= 2);
+    // A line shows what determined the shares.
+    const auto line
+        = logFieldsOf({ { "s" }, { {}, controller.totals(), "lacks capacity", input, planSpill(input) } });
+    CHECK(line["after"]["b"] == controller.totals().at(near));
+    CHECK(line["lackingSlots"] == Approx(105).margin(0.5));
+    CHECK(line["own"]["usableSlots"] == 100);
+    CHECK(line["others"][1]["ageMs"] == 200);
+    CHECK(line["roundTripMs"]["c"] == Approx(8));
     follow(idle, 4);
     CHECK(total() > 0.2);
     follow(idle, 50);
@@ -148,10 +157,27 @@
     follow(input, 5);
     const auto cleared = controller.clear(clock.now());
     REQUIRE(cleared);
+    CHECK(logFieldsOf({ { "s" }, *cleared })["reason"] == "no fresh knowledge");
     CHECK(cleared->after.empty());
     CHECK_FALSE(controller.hasPlan());
 }
 
+// Guards against a round trip that a wait for a slot has lengthened, and one that is kept after a change.
+TEST_CASE("the least round trip of the last minute counts")
+{
+    RoundTrips roundTrips;
+    util::ManualClock clock;
+    CHECK(roundTrips.secondsTo(near) == Approx(0.005));
+    for (const int milliseconds : { 300, 4, 90 })
+        roundTrips.record(near, std::chrono::milliseconds(milliseconds), clock.now());
+    CHECK(roundTrips.secondsTo(near) == Approx(0.004));
+    for (int i = 0; i < 3; ++i) {
+        clock.advance(std::chrono::seconds(31));
+        roundTrips.record(near, std::chrono::milliseconds(8), clock.now());
+    }
+    CHECK(roundTrips.secondsTo(near) == Approx(0.008));
+}
+
 // Guards against a load that is made up from too few targets, or counts targets that take no work.
 TEST_CASE("the estimate scales fresh reports to all usable targets of a data centre")
 {
