Test spill-over of requests that run over sockets

The models call the plan themselves, so that nothing showed whether an entry with callers and guards follows one. EntryNode gets data centres of targets, the settings of spill-over and the page of metrics.

--- a/tarragonhaven/testing/entry_node.cc
+++ b/tarragonhaven/testing/entry_node.cc
@@ -25,6 +25,7 @@
         result.bufferedResponseBytes = options.bufferedResponseBytes;
         result.deadlineCoversBody = true;
         result.serveWhileStopping = true;
+        result.spill = options.spill;
         return result;
     }
 
@@ -75,9 +76,9 @@
     , m_callers(m_thread.io(), m_entry, maximumConnections, options.pipeline)
 {
     std::vector<Target> directoryTargets;
-    for (const auto& [name, address] : targets) {
+    for (const auto& [name, address, dataCentre] : targets) {
         Target target { { name }, self, address, slotsPerTarget };
-        target.dataCentre = { "dc1" };
+        target.dataCentre = { dataCentre };
         directoryTargets.push_back(target);
     }
     const auto directory = std::make_shared<const Directory>(
@@ -88,7 +89,12 @@
     const auto error = m_callers.open(m_callerAddress);
     if (!error.empty())
         throw std::runtime_error(error);
-    m_thread.start([] {}, [this] { m_guard.tick(); });
+    m_thread.start([] {},
+        [this] {
+            m_guard.tick();
+            if (m_options.spill.enabled)
+                m_entry.tick();
+        });
 }
 
 EntryNode::~EntryNode()
@@ -123,6 +129,13 @@
     return bytes;
 }
 
+std::string EntryNode::metrics()
+{
+    MetricsPage page;
+    runOnThread([&] { m_metrics.addTo(page); });
+    return page.text();
+}
+
 void EntryNode::stop()
 {
     runOnThread([this] {
--- a/tarragonhaven/testing/entry_node.h
+++ b/tarragonhaven/testing/entry_node.h
@@ -23,6 +23,7 @@
     std::size_t bufferedResponseBytes = 1024 * 1024;
     CallerLimits callerLimits;
     PipelineLimits pipeline;
+    SpillOptions spill;
 };
 
 // The part of a sidecar node that forwards requests: an entry that serves callers over sockets, and the guard
@@ -30,10 +31,11 @@
 // testDeclaration().
 class EntryNode {
 public:
-    // The targets' names and addresses; each has four slots.
+    // The targets' names, addresses and data centres; each has four slots. The node is in "dc1".
     struct TargetAddress {
         std::string name;
         Endpoint address;
+        std::string dataCentre = "dc1";
     };
 
     EntryNode(const EntryNodeOptions& options, const std::vector<TargetAddress>& targets);
@@ -46,6 +48,8 @@
     [[nodiscard]] int slotsInUse();
     // Returns the memory for bodies that are kept.
     [[nodiscard]] std::size_t heldBytes();
+    // Returns the page of metrics of the entry.
+    [[nodiscard]] std::string metrics();
     // Begins a planned stop, as a node does.
     void stop();
     // Ends the requests in progress as a node does at the end of its grace period.
