Account for the memory that is held for callers and bound it

Callers saw: buffers of connections, heads and parts of responses that are being written were counted nowhere, so that some thousand open uploads took more than a machine of 160 MB has, and the process could be ended by the system together with all its requests.

Cause: BodyBudget limits what is kept of bodies, and nothing else.

Change: MemoryAccount counts what is held for callers by connection, organisation and process. Its bound is 0.4 of the memory of the machine or of its control groups, 64 MB to 1 GB (--memory_bound_bytes). From 50% nothing is read or started ahead and larger bodies are not kept; from 70% new requests with a body are refused (503, not run) and stalled connections are closed, those that hold most and progress least first; from 85% all new requests are refused and connections are closed until 70% are held. Gauges, the reason closed-for-memory and a log line for each change of the level, at most one a second.

Ruled out: refusing by organisation first, since the key of a request is known only after its head; passing small bodies on as they arrive under pressure.

The memory of a process was not measured. The guard's side and the system's socket buffers are not in the account.

--- a/tarragonhaven/body_budget.h
+++ b/tarragonhaven/body_budget.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "tarragonhaven/memory/connection_memory.h"
+
 #include <algorithm>
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace tarragonhaven {
 
@@ -10,10 +14,13 @@
 // asks before it reads more. Not thread-safe.
 class BodyBudget {
 public:
-    // What a budget counts counts for its parent as well, which must outlive it.
-    explicit BodyBudget(std::size_t limitBytes, BodyBudget* parent = nullptr)
+    // What a budget counts counts for its parent as well, which must outlive it, and for the account that
+    // `memory` is a part of.
+    explicit BodyBudget(std::size_t limitBytes, BodyBudget* parent = nullptr,
+        std::shared_ptr<ConnectionMemory> memory = nullptr)
         : m_limitBytes(limitBytes)
         , m_parent(parent)
+        , m_memory(std::move(memory))
     {
     }
     BodyBudget(const BodyBudget&) = delete;
@@ -24,17 +31,23 @@
         m_heldBytes += bytes;
         if (m_parent)
             m_parent->add(bytes);
+        if (m_memory)
+            m_memory->add(bytes);
     }
     void remove(std::size_t bytes)
     {
         m_heldBytes -= std::min(bytes, m_heldBytes);
         if (m_parent)
             m_parent->remove(bytes);
+        if (m_memory)
+            m_memory->remove(bytes);
     }
 
-    // Returns whether `bytes` more may be held.
+    // Returns whether `bytes` more may be held, which is not so while the account is near its bound.
     [[nodiscard]] bool allows(std::size_t bytes) const
     {
+        if (m_memory && m_memory->pressure() >= MemoryPressure::Backpressure)
+            return false;
         return m_heldBytes <= m_limitBytes && bytes <= m_limitBytes - m_heldBytes
             && (!m_parent || m_parent->allows(bytes));
     }
@@ -43,6 +56,7 @@
 private:
     std::size_t m_limitBytes;
     BodyBudget* m_parent;
+    std::shared_ptr<ConnectionMemory> m_memory;
     std::size_t m_heldBytes = 0;
 };
 
--- a/tarragonhaven/body_reader.h
+++ b/tarragonhaven/body_reader.h
@@ -40,6 +40,8 @@
         readSome(parser, std::move(handler));
     }
 
+    // Returns the memory of the part that is being read, beside the buffer.
+    [[nodiscard]] std::size_t heldBytes() const { return m_space.capacity(); }
     // Frees the memory. Bytes that have arrived after the body are kept.
     void release()
     {
--- a/tarragonhaven/caller_sessions.h
+++ b/tarragonhaven/caller_sessions.h
@@ -22,6 +22,9 @@
 
     // Opens the listening socket. Returns an empty text, or an error message on failure.
     std::string open(const Endpoint& endpoint);
+    // Closes connections if the memory that is held for callers is near its bound. Must be called at least
+    // ten times a second.
+    void relieveMemory();
     // Stops accepting new connections.
     void closeListener() { m_gate.close(); }
     // Closes each connection after its next response.
@@ -33,6 +36,7 @@
     // Closes all connections at once.
     void closeAll();
 
+    [[nodiscard]] const MemoryAccount& memory() const { return *m_memory; }
     [[nodiscard]] bool empty() const { return m_sessions.empty(); }
     // Returns whether any request is in progress.
     [[nodiscard]] bool busy() const;
@@ -40,12 +44,16 @@
 private:
     void accept(boost::asio::ip::tcp::socket socket, std::unique_ptr<TrackedConnection> tracked);
 
+    void logPressure(MemoryPressure pressure);
     // Counts the end of a connection, and logs it if a limit was the reason.
     void recordEnd(CloseReason reason);
 
     Entry& m_entry;
     PortCounters& m_counters;
     CallerSessionOptions m_options;
+    std::shared_ptr<MemoryAccount> m_memory;
+    MemoryPressure m_loggedPressure = MemoryPressure::None;
+    LineLimiter m_pressureLines;
     AheadBudget m_aheadBudget;
     ConnectionGate m_gate;
     std::set<std::shared_ptr<CallerSession>> m_sessions;
--- a/tarragonhaven/memory/connection_table.cc
+++ b/tarragonhaven/memory/connection_table.cc
@@ -77,6 +77,12 @@
     return id;
 }
 
+util::Duration ConnectionTable::stalled(Id id, util::Time now) const
+{
+    const auto found = m_connections.find(id);
+    return found == m_connections.end() ? util::Duration {} : now - found->second->progressAt;
+}
+
 void ConnectionTable::moveToBack(Order::iterator connection, ConnectionStage stage, util::Time now)
 {
     auto& to = orderOf(stage);
--- a/tarragonhaven/memory/connection_table.h
+++ b/tarragonhaven/memory/connection_table.h
@@ -61,6 +61,8 @@
     // lowest free one, so that at least that many are in use.
     [[nodiscard]] Admission admit(const std::string& address, std::size_t descriptor, util::Time now) const;
     Id add(const std::string& address, util::Time now);
+    // Returns the time since a connection made progress; 0 if there is none with this id.
+    [[nodiscard]] util::Duration stalled(Id id, util::Time now) const;
     // Records what a connection does. A change counts as progress.
     void setStage(Id id, ConnectionStage stage, util::Time now);
     // Records that a part of a body has arrived or was written.
--- a/tarragonhaven/memory/tracked_connection.cc
+++ b/tarragonhaven/memory/tracked_connection.cc
@@ -36,6 +36,11 @@
     m_registry->table.setStage(m_id, stage, util::BootClock::now());
 }
 
+util::Duration TrackedConnection::stalled() const
+{
+    return m_registry->table.stalled(m_id, util::BootClock::now());
+}
+
 void TrackedConnection::recordProgress() { m_registry->table.recordProgress(m_id, util::BootClock::now()); }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/memory/tracked_connection.h
+++ b/tarragonhaven/memory/tracked_connection.h
@@ -37,6 +37,8 @@
     void onClose(CloseHandler handler);
     void setStage(ConnectionStage stage);
     void recordProgress();
+    // Returns the time since the connection made progress.
+    [[nodiscard]] util::Duration stalled() const;
 
 private:
     std::shared_ptr<Registry> m_registry;
--- a/tarragonhaven/node.cc
+++ b/tarragonhaven/node.cc
@@ -4,6 +4,8 @@
 #include "tarragonhaven/control_thread.h"
 #include "tarragonhaven/log_writer.h"
 #include "tarragonhaven/memory/descriptor_limit.h"
+#include "tarragonhaven/memory/machine_memory.h"
+#include "tarragonhaven/memory/memory_bound.h"
 #include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/node_traffic.h"
@@ -43,7 +45,8 @@
                   settings.seedPeers },
               logWriter.channel(), configuration.controlEvents(), configuration.peerRevisions() })
         , traffic({ settings, hello, state, logWriter.channel(), configuration.trafficEvents(),
-              control.requests(), control.replies(), idempotencySecret, connections })
+              control.requests(), control.replies(), idempotencySecret, connections,
+              settings.memoryBoundBytes > 0 ? settings.memoryBoundBytes : memoryBound(machineMemory()) })
         , operators(state, logWriter.channel(), connections.operators, traffic.statusRequests(),
               traffic.statusReplies())
     {
--- a/tarragonhaven/node_settings.h
+++ b/tarragonhaven/node_settings.h
@@ -32,6 +32,8 @@
     ConnectionSettings connections;
     ProgressLimits progress;
     HeadLimits heads;
+    // The bound of the memory that is held for callers; 0 if it is derived from the machine.
+    std::size_t memoryBoundBytes = 0;
     PipelineLimits pipeline;
 
     friend bool operator==(const NodeSettings&, const NodeSettings&) = default;
--- a/tarragonhaven/node_settings_parse.cc
+++ b/tarragonhaven/node_settings_parse.cc
@@ -1,5 +1,6 @@
 #include "tarragonhaven/node_settings_parse.h"
 
+#include "tarragonhaven/memory/memory_bound.h"
 #include "tarragonhaven/settings_checks.h"
 
 #include <algorithm>
@@ -51,6 +52,7 @@
     settings.connections = parseConnectionSettings(raw.connections, faults);
     settings.progress = parseProgressLimits(raw.progress, faults);
     settings.heads = parseHeadLimits(raw.heads, faults);
+    settings.memoryBoundBytes = parseMemoryBound(raw.memoryBoundBytes, faults);
     settings.connections.callers = static_cast<std::size_t>(std::max(raw.maximumConnections, 1));
     settings.pipeline = parsePipelineLimits(raw.pipeline, faults);
     checkDistinctAddresses(settings, faults);
--- a/tarragonhaven/node_settings_parse.h
+++ b/tarragonhaven/node_settings_parse.h
@@ -27,6 +27,7 @@
     RawConnectionSettings connections;
     RawProgressLimits progress;
     RawHeadLimits heads;
+    double memoryBoundBytes = 0;
 };
 
 // Parses and checks all settings. On failure, returns every fault; its path is the name of the flag.
--- a/tarragonhaven/node_traffic.cc
+++ b/tarragonhaven/node_traffic.cc
@@ -37,7 +37,7 @@
     , m_callers(m_thread.io(), m_entry, m_dependencies.connections.callers,
           m_dependencies.state.connections.callers,
           CallerSessionOptions { m_dependencies.settings.pipeline, m_dependencies.settings.progress,
-              m_dependencies.settings.heads })
+              m_dependencies.settings.heads, m_dependencies.memoryBoundBytes })
     , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello, m_dependencies.connections.peers,
           m_dependencies.state.connections.peers, m_dependencies.log)
     , m_status(m_thread.io(), [this] { return sources(); })
@@ -184,6 +184,7 @@
         m_entry.tick();
         m_peerSessions.removeEnded();
     }
+    m_callers.relieveMemory();
     m_dependencies.log.tick();
     if (m_stopping)
         advanceStop();
@@ -216,7 +217,7 @@
 TrafficSources NodeTraffic::sources() const
 {
     return { m_entry, m_guard, m_metrics, m_dependencies.log, nullptr, nullptr,
-        &m_dependencies.state.connections };
+        &m_dependencies.state.connections, &m_callers.memory() };
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/node_traffic.h
+++ b/tarragonhaven/node_traffic.h
@@ -35,6 +35,7 @@
         // The secret that signs the idempotency keys of this incarnation.
         std::string idempotencySecret;
         NodeConnectionLimits connections;
+        std::size_t memoryBoundBytes = 0;
     };
 
     explicit NodeTraffic(Dependencies dependencies);
--- a/tarragonhaven/pipelining/ahead_budget.h
+++ b/tarragonhaven/pipelining/ahead_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/memory/memory_account.h"
 #include "tarragonhaven/names.h"
 #include "tarragonhaven/pipelining/pipeline_limits.h"
 
@@ -13,8 +14,10 @@
 // the others. A request that is denied starts at its turn. Not thread-safe.
 class AheadBudget {
 public:
-    explicit AheadBudget(const PipelineLimits& limits)
+    // Nothing is started ahead while `memory` is near its bound. It may be null, and must outlive the budget.
+    explicit AheadBudget(const PipelineLimits& limits, const MemoryAccount* memory = nullptr)
         : m_limits(limits)
+        , m_memory(memory)
     {
     }
     AheadBudget(const AheadBudget&) = delete;
@@ -23,6 +26,8 @@
     // Counts one more request, unless a limit is reached. Returns whether it was counted.
     [[nodiscard]] bool tryAcquire(const OrganisationName& organisation, std::size_t responseBytes)
     {
+        if (m_memory && m_memory->pressure() >= MemoryPressure::Backpressure)
+            return false;
         const auto found = m_byOrganisation.find(organisation);
         const auto used = found == m_byOrganisation.end() ? 0 : found->second;
         if (m_inUse >= m_limits.aheadRequests || used >= m_limits.aheadRequestsPerOrganisation
@@ -49,6 +54,7 @@
 
 private:
     PipelineLimits m_limits;
+    const MemoryAccount* m_memory;
     std::size_t m_inUse = 0;
     std::size_t m_reservedBytes = 0;
     std::map<OrganisationName, std::size_t> m_byOrganisation;
--- a/tarragonhaven/pipelining/caller_connection.h
+++ b/tarragonhaven/pipelining/caller_connection.h
@@ -16,12 +16,15 @@
 // The connection of one caller, shared by the parts of its session.
 struct CallerConnection {
     CallerConnection(Entry& sharedEntry, boost::asio::ip::tcp::socket socket,
-        std::unique_ptr<TrackedConnection> trackedConnection, const CallerSessionOptions& sessionOptions)
+        std::unique_ptr<TrackedConnection> trackedConnection, const CallerSessionOptions& sessionOptions,
+        const std::shared_ptr<MemoryAccount>& account)
         : entry(sharedEntry)
         , stream(std::move(socket))
         , tracked(std::move(trackedConnection))
         , options(sessionOptions)
-        , budget(std::make_shared<BodyBudget>(sessionOptions.pipeline.heldBytes, &sharedEntry.bodyBudget()))
+        , memory(std::make_shared<ConnectionMemory>(account))
+        , budget(std::make_shared<BodyBudget>(
+              sessionOptions.pipeline.heldBytes, &sharedEntry.bodyBudget(), memory))
     {
     }
 
@@ -29,8 +32,10 @@
     boost::beast::tcp_stream stream;
     std::unique_ptr<TrackedConnection> tracked;
     CallerSessionOptions options;
-    // Counts the memory that is held for this connection: bodies, and heads that were read ahead. Shared with
-    // exchanges that outlive the session.
+    // Counts all memory that is held for this connection.
+    std::shared_ptr<ConnectionMemory> memory;
+    // Counts and limits the part of it that may be kept for long: bodies, and heads that were read ahead.
+    // Shared with exchanges that outlive the session.
     std::shared_ptr<BodyBudget> budget;
     // Set by the session when it ends. Handlers that run afterwards do nothing.
     bool closed = false;
--- a/tarragonhaven/pipelining/caller_request.cc
+++ b/tarragonhaven/pipelining/caller_request.cc
@@ -16,6 +16,8 @@
 
     // Longer than the grace of frames between nodes, so that what other nodes say of a request goes first.
     constexpr util::Duration deadlineGrace = std::chrono::milliseconds(250);
+    // Within this time stalled connections are closed, and bodies that arrive have mostly been sent on.
+    constexpr util::Duration memoryRetryAfter = std::chrono::seconds(2);
     // A body is read up to this size before a target is chosen.
     constexpr std::size_t prefetchLimitBytes = 64 * 1024;
     // The limit of bytes of a refused request's body that are read and discarded to keep the connection open.
@@ -24,12 +26,12 @@
 } // namespace
 
 CallerRequest::CallerRequest(std::shared_ptr<CallerSession> session, RequestPipeline::Number number,
-    ReceivedHead received, std::size_t aheadBytes)
+    ReceivedHead received, std::size_t headBytes, bool ahead)
     : m_session(std::move(session))
     , m_number(number)
     , m_received(std::move(received))
-    , m_keepsHead(aheadBytes > 0)
-    , m_aheadBytes(aheadBytes)
+    , m_keepsHead(ahead)
+    , m_headBytes(headBytes)
     , m_requestId(m_received.refusal ? entry().nextRequestId() : entry().requestIdOf(m_received.head))
     , m_headOnly(m_received.head.method == "HEAD")
     , m_prefetchedBody(*m_session->connection().budget)
@@ -37,10 +39,19 @@
     , m_deadlineTimer(m_session->connection().stream.get_executor())
     , m_bodyRemaining(m_received.head.hasBody)
 {
-    m_session->connection().budget->add(m_aheadBytes);
+    if (m_keepsHead)
+        m_session->connection().budget->add(m_headBytes);
+    else
+        m_session->connection().memory->add(m_headBytes);
 }
 
-CallerRequest::~CallerRequest() { m_session->connection().budget->remove(m_aheadBytes); }
+CallerRequest::~CallerRequest()
+{
+    if (m_keepsHead)
+        m_session->connection().budget->remove(m_headBytes);
+    else
+        m_session->connection().memory->remove(m_headBytes);
+}
 
 Entry& CallerRequest::entry() const { return m_session->connection().entry; }
 
@@ -51,13 +62,24 @@
     m_begun = true;
     if (m_received.refusal)
         return refuse(*m_received.refusal);
-    if (m_response.refused() || m_prefetching || !accept())
+    if (m_response.refused() || refusedForMemory() || m_prefetching || !accept())
         return;
     if (m_bodyRemaining && !m_received.expectsContinue && !m_prefetched)
         return prefetch();
     beginExchange();
 }
 
+bool CallerRequest::refusedForMemory()
+{
+    if (!refusesRequest(m_session->connection().memory->pressure(), m_bodyRemaining))
+        return false;
+    // The rest of the body would take more memory.
+    m_closesAfterResponse = m_closesAfterResponse || m_bodyRemaining;
+    refuse({ RefusalReason::MemoryExhausted, RunState::NotRun, memoryRetryAfter,
+        "the memory that this node holds for callers is near its bound" });
+    return true;
+}
+
 bool CallerRequest::accept()
 {
     auto accepted = entry().accept(m_keepsHead ? RequestHead(m_received.head) : std::move(m_received.head));
@@ -75,6 +97,7 @@
         m_session->pipeline().postpone(m_number);
         return false;
     }
+    m_session->connection().memory->assign(m_organisation);
     m_keyDigest = accepted->keyDigest;
     accepted->context.requestId = m_requestId;
     m_idempotencyKeyRequired = accepted->route.idempotencyKeyRule == IdempotencyKeyRule::Required;
@@ -120,8 +143,11 @@
         if (m_response.refused())
             return;
         m_prefetchedBody.append(std::move(chunk));
+        // Goes on under backpressure: a request whose body is not complete would hold a slot of a target.
+        const auto& connection = m_session->connection();
         const bool mayReadMore = m_prefetchedBody.bodyBytes() <= prefetchLimitBytes
-            && m_session->connection().budget->allows(bodyChunkBytes);
+            && connection.budget->heldBytes() + bodyChunkBytes <= connection.options.pipeline.heldBytes
+            && entry().bodyBudget().allows(bodyChunkBytes);
         if (m_prefetchedBody.hasEnd() || !mayReadMore)
             return onPrefetched();
         prefetch();
--- a/tarragonhaven/pipelining/caller_request.h
+++ b/tarragonhaven/pipelining/caller_request.h
@@ -22,9 +22,9 @@
 // connection; beyond it, no more is read from the target.
 class CallerRequest : public std::enable_shared_from_this<CallerRequest> {
 public:
-    // `aheadBytes` is the memory to count for a head that is read ahead.
+    // `headBytes` is the memory to count for the request and its head, `ahead` whether it is read ahead.
     CallerRequest(std::shared_ptr<CallerSession> session, RequestPipeline::Number number,
-        ReceivedHead received, std::size_t aheadBytes);
+        ReceivedHead received, std::size_t headBytes, bool ahead);
     ~CallerRequest();
     CallerRequest(const CallerRequest&) = delete;
     CallerRequest& operator=(const CallerRequest&) = delete;
@@ -61,6 +61,8 @@
 
 private:
     [[nodiscard]] Entry& entry() const;
+    // Returns whether the request was refused because of the memory that is held for callers.
+    bool refusedForMemory();
     // Returns whether the request was accepted; otherwise it has been refused or postponed.
     bool accept();
     [[nodiscard]] std::string offeredIdempotencyKey(RequestHead head) const;
@@ -89,7 +91,7 @@
     ReceivedHead m_received;
     // Whether the head is kept, so that the request can be accepted anew at its turn.
     bool m_keepsHead;
-    std::size_t m_aheadBytes;
+    std::size_t m_headBytes;
     std::string m_requestId;
     bool m_headOnly;
     OrganisationName m_organisation;
--- a/tarragonhaven/pipelining/caller_session.cc
+++ b/tarragonhaven/pipelining/caller_session.cc
@@ -17,14 +17,19 @@
     constexpr std::size_t reservedForFrontBytes = 12 * 1024 * 1024;
     // Large responses leave a connection this number of requests that are started ahead.
     constexpr std::size_t maximumResponseDivisor = 4;
-    // What a request that was read ahead takes beside its head.
+    // What a connection takes beside its buffers.
+    constexpr std::size_t connectionBytes = sizeof(CallerSession) + sizeof(CallerConnection)
+        + sizeof(RequestReader) + sizeof(ResponseWriter) + 1024;
+    // What a request takes beside its head.
     constexpr std::size_t requestBytes = sizeof(CallerRequest) + 2048;
 
 } // namespace
 
 CallerSession::CallerSession(Entry& entry, tcp::socket socket, std::unique_ptr<TrackedConnection> tracked,
-    const CallerSessionOptions& options, AheadBudget& aheadBudget, EndHandler onEnd)
-    : m_connection(std::make_shared<CallerConnection>(entry, std::move(socket), std::move(tracked), options))
+    const CallerSessionOptions& options, const std::shared_ptr<MemoryAccount>& account,
+    AheadBudget& aheadBudget, EndHandler onEnd)
+    : m_connection(
+        std::make_shared<CallerConnection>(entry, std::move(socket), std::move(tracked), options, account))
     , m_aheadBudget(aheadBudget)
     , m_onEnd(std::move(onEnd))
     , m_pipeline(options.pipeline.requests)
@@ -38,10 +43,11 @@
 void CallerSession::start()
 {
     error_code ignored;
+    m_connection->memory->add(connectionBytes);
     m_connection->stream.socket().set_option(tcp::no_delay(true), ignored);
     m_connection->tracked->onClose([weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->makeRoom();
+            self->closeAtOnce(CloseReason::ClosedForRoom);
     });
     m_reader = std::make_shared<RequestReader>(m_connection, weak_from_this());
     m_writer = std::make_shared<ResponseWriter>(m_connection);
@@ -63,18 +69,21 @@
         request->abandon(RefusalReason::Stopping, "the node is stopping");
 }
 
-void CallerSession::close()
+void CallerSession::close() { closeAtOnce(CloseReason::Stopped); }
+
+void CallerSession::closeForMemory() { closeAtOnce(CloseReason::ClosedForMemory); }
+
+void CallerSession::closeAtOnce(CloseReason reason)
 {
     if (const auto lingeringClose = m_lingeringClose)
         return lingeringClose->close();
-    end(CloseReason::Stopped);
+    end(reason);
 }
 
-void CallerSession::makeRoom()
+ConnectionUse CallerSession::use() const
 {
-    if (const auto lingeringClose = m_lingeringClose)
-        return lingeringClose->close();
-    end(CloseReason::ClosedForRoom);
+    const auto& memory = *m_connection->memory;
+    return { memory.heldBytes(), memory.organisationBytes(), stage(), m_connection->tracked->stalled() };
 }
 
 ConnectionStage CallerSession::stage() const
@@ -181,9 +190,9 @@
     const auto traits = ahead ? traitsOf(received) : RequestPipeline::Traits {};
     const bool readsBody
         = traits.idempotent && !traits.complete && !received.refusal && !received.expectsContinue;
-    const auto aheadBytes = ahead ? requestBytes + headCost(received.head) : 0;
+    const auto headBytes = requestBytes + headCost(received.head);
     const auto request
-        = std::make_shared<CallerRequest>(shared_from_this(), number, std::move(received), aheadBytes);
+        = std::make_shared<CallerRequest>(shared_from_this(), number, std::move(received), headBytes, ahead);
     m_requests.push_back(request);
     m_pipeline.classify(number, traits);
     if (readsBody)
--- a/tarragonhaven/pipelining/caller_session.h
+++ b/tarragonhaven/pipelining/caller_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "tarragonhaven/memory/memory_policy.h"
 #include "tarragonhaven/pipelining/ahead_budget.h"
 #include "tarragonhaven/pipelining/caller_connection.h"
 #include "tarragonhaven/pipelining/caller_request.h"
@@ -33,7 +34,7 @@
 
     CallerSession(Entry& entry, boost::asio::ip::tcp::socket socket,
         std::unique_ptr<TrackedConnection> tracked, const CallerSessionOptions& options,
-        AheadBudget& aheadBudget, EndHandler onEnd);
+        const std::shared_ptr<MemoryAccount>& account, AheadBudget& aheadBudget, EndHandler onEnd);
     ~CallerSession();
     CallerSession(const CallerSession&) = delete;
     CallerSession& operator=(const CallerSession&) = delete;
@@ -46,6 +47,10 @@
     // Refuses the requests in progress whose responses have not begun.
     void abandonRequests();
     void close();
+    // Closes the connection to free the memory that is held for it.
+    void closeForMemory();
+    // Returns what is held for the connection.
+    [[nodiscard]] ConnectionUse use() const;
     // Returns whether a request is being read or executed, or its response may not have been received.
     [[nodiscard]] bool busy() const;
 
@@ -86,8 +91,8 @@
     void end(CloseReason reason);
 
 private:
-    // Closes the connection so that another can be accepted.
-    void makeRoom();
+    // Closes the connection at once, also if it is lingering.
+    void closeAtOnce(CloseReason reason);
     [[nodiscard]] ConnectionStage stage() const;
     [[nodiscard]] bool mayReadHead() const;
     [[nodiscard]] RequestPipeline::Traits traitsOf(const ReceivedHead& received) const;
--- a/tarragonhaven/pipelining/close_reason.cc
+++ b/tarragonhaven/pipelining/close_reason.cc
@@ -27,6 +27,8 @@
         return "response-truncated";
     case CloseReason::ClosedForRoom:
         return "closed-for-room";
+    case CloseReason::ClosedForMemory:
+        return "closed-for-memory";
     }
     return "unknown";
 }
--- a/tarragonhaven/pipelining/close_reason.h
+++ b/tarragonhaven/pipelining/close_reason.h
@@ -27,9 +27,11 @@
     ResponseTruncated,
     // The connection made no progress, and another was accepted instead.
     ClosedForRoom,
+    // The memory that is held for callers was near its bound.
+    ClosedForMemory,
 };
 
-inline constexpr std::size_t closeReasonCount = static_cast<std::size_t>(CloseReason::ClosedForRoom) + 1;
+inline constexpr std::size_t closeReasonCount = static_cast<std::size_t>(CloseReason::ClosedForMemory) + 1;
 
 // Returns the name of a reason in log lines, in lower case with hyphens.
 std::string_view toString(CloseReason reason);
--- a/tarragonhaven/pipelining/request_reader.cc
+++ b/tarragonhaven/pipelining/request_reader.cc
@@ -40,6 +40,18 @@
     beginMessage();
 }
 
+RequestReader::~RequestReader() { m_connection->memory->remove(m_countedBytes); }
+
+void RequestReader::updateMemory()
+{
+    const auto bytes = m_buffer.capacity() + m_bodyReader.heldBytes();
+    if (bytes > m_countedBytes)
+        m_connection->memory->add(bytes - m_countedBytes);
+    else
+        m_connection->memory->remove(m_countedBytes - bytes);
+    m_countedBytes = bytes;
+}
+
 void RequestReader::beginMessage()
 {
     const auto& limits = m_connection->entry.callerLimits();
@@ -192,6 +204,7 @@
             }
             handler(error, std::move(chunk));
         });
+    updateMemory();
 }
 
 void RequestReader::endReading(CloseReason reason)
@@ -204,6 +217,7 @@
 
 void RequestReader::updateTimer()
 {
+    updateMemory();
     if (m_bodyRemaining) {
         if (m_readingBody)
             return setTimer(m_requestsBefore || m_bodyTimedOut ? TimerUse::None : TimerUse::Body);
--- a/tarragonhaven/pipelining/request_reader.h
+++ b/tarragonhaven/pipelining/request_reader.h
@@ -40,6 +40,9 @@
     using BodyHandler = std::function<void(boost::beast::error_code, BodyChunk)>;
 
     RequestReader(std::shared_ptr<CallerConnection> connection, std::weak_ptr<Listener> listener);
+    ~RequestReader();
+    RequestReader(const RequestReader&) = delete;
+    RequestReader& operator=(const RequestReader&) = delete;
 
     // Reads the next head if `mayReadHead` is set, otherwise waits for the caller to close the connection. To
     // be called whenever one of the arguments or bodyRemaining() has changed. `requestsBefore` states whether
@@ -81,6 +84,8 @@
     void awaitBytes();
     void onBytes();
     void receive();
+    // Counts the memory of the buffers.
+    void updateMemory();
     void updateTimer();
     void setTimer(TimerUse use);
     void onTimer();
@@ -91,6 +96,7 @@
     std::weak_ptr<Listener> m_listener;
     boost::beast::flat_buffer m_buffer;
     BodyReader m_bodyReader;
+    std::size_t m_countedBytes = 0;
     std::optional<Parser> m_parser;
     boost::asio::steady_timer m_timer;
     BodyProgress m_bodyProgress;
--- a/tarragonhaven/pipelining/response_writer.cc
+++ b/tarragonhaven/pipelining/response_writer.cc
@@ -32,6 +32,7 @@
 void ResponseWriter::finish(error_code error, const Handler& handler)
 {
     m_busy = false;
+    m_connection->memory->remove(std::exchange(m_countedBytes, 0));
     m_chunk = {};
     if (!m_connection->closed)
         handler(!error);
@@ -66,6 +67,8 @@
 {
     begin();
     m_chunk = std::move(chunk);
+    m_countedBytes = m_chunk.data.capacity();
+    m_connection->memory->add(m_countedBytes);
     auto& body = m_response->body();
     body.data = m_chunk.data.empty() ? nullptr : m_chunk.data.data();
     body.size = m_chunk.data.size();
--- a/tarragonhaven/pipelining/response_writer.h
+++ b/tarragonhaven/pipelining/response_writer.h
@@ -50,6 +50,7 @@
     std::optional<boost::beast::http::response_serializer<boost::beast::http::buffer_body>> m_serializer;
     std::optional<Refused> m_refusal;
     BodyChunk m_chunk;
+    std::size_t m_countedBytes = 0;
     bool m_busy = false;
 };
 
--- a/tarragonhaven/refusal.cc
+++ b/tarragonhaven/refusal.cc
@@ -52,6 +52,7 @@
         { RefusalReason::TargetEvacuated, "target-evacuated", 503 },
         { RefusalReason::RegionNotAllowed, "region-not-allowed", 503 },
         { RefusalReason::BodyTooSlow, "body-too-slow", 408 },
+        { RefusalReason::MemoryExhausted, "memory-exhausted", 503 },
     } };
 
     const ReasonRow& rowOf(RefusalReason reason)
--- a/tarragonhaven/refusal.h
+++ b/tarragonhaven/refusal.h
@@ -64,6 +64,8 @@
     RegionNotAllowed,
     // The caller sent the body more slowly than ProgressLimits require.
     BodyTooSlow,
+    // The memory that this node holds for callers is near its bound.
+    MemoryExhausted,
 };
 
 // The outcome that a caller gets instead of a target's response.
@@ -90,6 +92,6 @@
 std::string_view toString(RunState run);
 
 // The number of reasons. The values of the enumerators range from 0 to refusalReasonCount - 1.
-inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::BodyTooSlow) + 1;
+inline constexpr int refusalReasonCount = static_cast<int>(RefusalReason::MemoryExhausted) + 1;
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_flags.cc
+++ b/tarragonhaven/sidecar_flags.cc
@@ -74,6 +74,8 @@
 ABSL_FLAG(double, head_fields, 200, "Limits: header fields of a request, 16 to 10000.");
 ABSL_FLAG(double, head_memory_bytes, 98304,
     "Limits: memory of the parsed header fields of a request, 49152 to 16777216 bytes.");
+ABSL_FLAG(double, memory_bound_bytes, 0,
+    "Limits: memory that is held for callers, 0 or 1048576 to 1e12; 0 derives it from the machine.");
 
 namespace tarragonhaven {
 
@@ -109,7 +111,8 @@
                 absl::GetFlag(FLAGS_reserved_descriptors) },
             { absl::GetFlag(FLAGS_body_bytes_per_second), absl::GetFlag(FLAGS_body_grace_seconds),
                 absl::GetFlag(FLAGS_response_timeout_seconds) },
-            { absl::GetFlag(FLAGS_head_fields), absl::GetFlag(FLAGS_head_memory_bytes) } };
+            { absl::GetFlag(FLAGS_head_fields), absl::GetFlag(FLAGS_head_memory_bytes) },
+            absl::GetFlag(FLAGS_memory_bound_bytes) };
     }
 
     util::Faults applyEnvironment()
@@ -122,7 +125,8 @@
                 "grace_seconds", "evacuation_ms", "cold_overshoot", "cold_slack", "regions",
                 "pipeline_requests", "pipeline_bytes", "caller_connections", "peer_connections",
                 "operator_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
-                "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes" });
+                "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes",
+                "memory_bound_bytes" });
     }
 
 } // namespace
--- a/tarragonhaven/sidecar_settings.cc
+++ b/tarragonhaven/sidecar_settings.cc
@@ -1,5 +1,6 @@
 #include "tarragonhaven/sidecar_settings.h"
 
+#include "tarragonhaven/memory/memory_bound.h"
 #include "tarragonhaven/settings_checks.h"
 
 namespace tarragonhaven {
@@ -69,6 +70,7 @@
     settings.connections = parseConnectionSettings(raw.connections, faults);
     settings.progress = parseProgressLimits(raw.progress, faults);
     settings.heads = parseHeadLimits(raw.heads, faults);
+    settings.memoryBoundBytes = parseMemoryBound(raw.memoryBoundBytes, faults);
     if (!faults.empty())
         return tl::unexpected(faults);
     return settings;
--- a/tarragonhaven/sidecar_settings.h
+++ b/tarragonhaven/sidecar_settings.h
@@ -41,6 +41,8 @@
     ConnectionSettings connections;
     ProgressLimits progress;
     HeadLimits heads;
+    // The bound of the memory that is held for callers; 0 if it is derived from the machine.
+    std::size_t memoryBoundBytes = 0;
 
     friend bool operator==(const SidecarSettings&, const SidecarSettings&) = default;
 };
@@ -77,6 +79,7 @@
     RawConnectionSettings connections;
     RawProgressLimits progress;
     RawHeadLimits heads;
+    double memoryBoundBytes = 0;
 };
 
 // Checks all settings. Returns every fault that was found; the path of a fault is the name of its flag.
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -118,7 +118,7 @@
     , m_callers(m_thread.io(), m_entry, m_dependencies.connections.callers,
           m_dependencies.state.connections.callers,
           CallerSessionOptions { m_dependencies.settings.pipeline, m_dependencies.settings.progress,
-              m_dependencies.settings.heads })
+              m_dependencies.settings.heads, m_dependencies.memoryBoundBytes })
     , m_peerSessions(m_thread.io(), *this, m_dependencies.localHello, m_dependencies.connections.peers,
           m_dependencies.state.connections.peers, m_dependencies.log)
     , m_status(m_thread.io(), [this] { return sources(); })
@@ -423,6 +423,7 @@
         m_entry.tick();
         m_peerSessions.removeEnded();
     }
+    m_callers.relieveMemory();
     m_dependencies.log.tick();
     if (m_stopping)
         advanceStop();
@@ -463,7 +464,7 @@
 TrafficSources SidecarTraffic::sources() const
 {
     return { m_entry, m_guard, m_metrics, m_dependencies.log, &m_admission, &m_dependencies.counters,
-        &m_dependencies.state.connections };
+        &m_dependencies.state.connections, &m_callers.memory() };
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -34,6 +34,7 @@
         const DiscoveryCounters& counters;
         HeaderNames headerNames;
         NodeConnectionLimits connections;
+        std::size_t memoryBoundBytes = 0;
     };
 
     explicit SidecarTraffic(Dependencies dependencies);
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -47,6 +47,8 @@
 ABSL_FLAG(double, head_fields, 200, "Limits: header fields of a request, 16 to 10000.");
 ABSL_FLAG(double, head_memory_bytes, 98304,
     "Limits: memory of the parsed header fields of a request, 49152 to 16777216 bytes.");
+ABSL_FLAG(double, memory_bound_bytes, 0,
+    "Limits: memory that is held for callers, 0 or 1048576 to 1e12; 0 derives it from the machine.");
 ABSL_FLAG(double, pipeline_requests, 16,
     "Limits: requests in progress on one connection of a caller, 1 to 1000. 1 handles one after another.");
 ABSL_FLAG(double, pipeline_bytes, 4194304,
@@ -78,7 +80,8 @@
             absl::GetFlag(FLAGS_address_share), absl::GetFlag(FLAGS_reserved_descriptors) },
         { absl::GetFlag(FLAGS_body_bytes_per_second), absl::GetFlag(FLAGS_body_grace_seconds),
             absl::GetFlag(FLAGS_response_timeout_seconds) },
-        { absl::GetFlag(FLAGS_head_fields), absl::GetFlag(FLAGS_head_memory_bytes) } };
+        { absl::GetFlag(FLAGS_head_fields), absl::GetFlag(FLAGS_head_memory_bytes) },
+        absl::GetFlag(FLAGS_memory_bound_bytes) };
 }
 
 int reportFaults(const util::Faults& faults)
@@ -98,7 +101,8 @@
             "platform_address", "seed_peers", "log_level", "log_lines_per_second", "log_bytes_per_second",
             "drain_seconds", "maximum_connections", "pipeline_requests", "pipeline_bytes", "peer_connections",
             "operator_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
-            "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes" });
+            "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes",
+            "memory_bound_bytes" });
     const auto positional = absl::ParseCommandLine(argumentCount, arguments);
     if (positional.size() > 1)
         return reportFaults({ { positional[1], "is not a flag" } });
--- a/tarragonhaven/testing/entry_node.cc
+++ b/tarragonhaven/testing/entry_node.cc
@@ -73,7 +73,8 @@
     , m_entry({ m_thread.io(), m_guard, m_peers, m_admission, m_log, m_metrics, self, { "dc1" }, 1,
           entryOptions(options) })
     , m_callers(m_thread.io(), m_entry, ConnectionLimits { maximumConnections, maximumConnections, 100'000 },
-          m_counters, CallerSessionOptions { options.pipeline, options.progress, {} })
+          m_counters,
+          CallerSessionOptions { options.pipeline, options.progress, {}, options.memoryBoundBytes })
 {
     std::vector<Target> directoryTargets;
     for (const auto& [name, address] : targets) {
@@ -89,7 +90,11 @@
     const auto error = m_callers.open(m_callerAddress);
     if (!error.empty())
         throw std::runtime_error(error);
-    m_thread.start([] {}, [this] { m_guard.tick(); });
+    m_thread.start([] {},
+        [this] {
+            m_guard.tick();
+            m_callers.relieveMemory();
+        });
 }
 
 EntryNode::~EntryNode()
--- a/tarragonhaven/testing/entry_node.h
+++ b/tarragonhaven/testing/entry_node.h
@@ -24,6 +24,7 @@
     CallerLimits callerLimits;
     PipelineLimits pipeline;
     ProgressLimits progress;
+    std::size_t memoryBoundBytes = 64 * 1024 * 1024;
 };
 
 // The part of a sidecar node that forwards requests: an entry that serves callers over sockets, and the guard
--- a/tarragonhaven/testing/sidecar_settings_test.cc
+++ b/tarragonhaven/testing/sidecar_settings_test.cc
@@ -54,6 +54,7 @@
     raw.connections = { -1, 1e9, 0, 2, 1 };
     raw.progress = { 0, 0, 4000 };
     raw.heads = { 1, 1000 };
+    raw.memoryBoundBytes = 1000;
     const auto rejected = parseSidecarSettings(raw);
     REQUIRE_FALSE(rejected);
     std::set<std::string> faultPaths;
@@ -64,5 +65,6 @@
             "quota_overshoot", "floor_share", "grace_seconds", "evacuation_ms", "cold_overshoot",
             "cold_slack", "regions", "pipeline_requests", "pipeline_bytes", "caller_connections",
             "peer_connections", "address_share", "reserved_descriptors", "body_bytes_per_second",
-            "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes" });
+            "body_grace_seconds", "response_timeout_seconds", "head_fields", "head_memory_bytes",
+            "memory_bound_bytes" });
 }
--- a/tarragonhaven/traffic_status.cc
+++ b/tarragonhaven/traffic_status.cc
@@ -1,6 +1,7 @@
 #include "tarragonhaven/traffic_status.h"
 
 #include "tarragonhaven/memory/connection_metrics.h"
+#include "tarragonhaven/memory/memory_metrics.h"
 
 #include <nlohmann/json.hpp>
 
@@ -236,6 +237,8 @@
         addStoreMetrics(page, *sources.discovery);
     if (sources.connections)
         addConnectionMetrics(page, *sources.connections);
+    if (sources.memory)
+        addMemoryMetrics(page, *sources.memory);
     return page.text();
 }
 
--- a/tarragonhaven/traffic_status.h
+++ b/tarragonhaven/traffic_status.h
@@ -5,6 +5,7 @@
 #include "tarragonhaven/guard.h"
 #include "tarragonhaven/log_channel.h"
 #include "tarragonhaven/memory/connection_counters.h"
+#include "tarragonhaven/memory/memory_account.h"
 #include "tarragonhaven/quota_admission.h"
 #include "tarragonhaven/traffic_metrics.h"
 
@@ -21,6 +22,7 @@
     const QuotaAdmission* quota = nullptr;
     const DiscoveryCounters* discovery = nullptr;
     const ConnectionCounters* connections = nullptr;
+    const MemoryAccount* memory = nullptr;
 };
 
 // Returns the state of the traffic thread as a JSON object, for the operator endpoint.
