--- a/tarragonhaven/node_traffic.h
+++ b/tarragonhaven/node_traffic.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/control_exchange.h"
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/guard.h"
+#include "tarragonhaven/memory/heap_trimmer.h"
 #include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_settings.h"
 #include "tarragonhaven/node_state.h"
@@ -35,6 +36,7 @@
         // The secret that signs the idempotency keys of this incarnation.
         std::string idempotencySecret;
         NodeConnectionLimits connections;
+        std::size_t memoryBoundBytes = 0;
     };
 
     explicit NodeTraffic(Dependencies dependencies);
@@ -80,6 +82,7 @@
     ControlClient m_control;
     Entry m_entry;
     CallerSessions m_callers;
+    HeapTrimmer m_heapTrimmer;
     PeerSessions m_peerSessions;
     StatusResponder m_status;
     std::set<InstanceName> m_listedLeavingInstances;
--- a/tarragonhaven/sidecar_traffic.h
+++ b/tarragonhaven/sidecar_traffic.h
@@ -6,6 +6,7 @@
 #include "tarragonhaven/entry.h"
 #include "tarragonhaven/evacuation/evacuation_announcer.h"
 #include "tarragonhaven/guard.h"
+#include "tarragonhaven/memory/heap_trimmer.h"
 #include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/peer_sessions.h"
@@ -34,6 +35,7 @@
         const DiscoveryCounters& counters;
         HeaderNames headerNames;
         NodeConnectionLimits connections;
+        std::size_t memoryBoundBytes = 0;
     };
 
     explicit SidecarTraffic(Dependencies dependencies);
@@ -95,6 +97,7 @@
     Entry m_entry;
     EvacuationAnnouncer m_evacuations;
     CallerSessions m_callers;
+    HeapTrimmer m_heapTrimmer;
     PeerSessions m_peerSessions;
     StatusResponder m_status;
     ConfigurationPointer m_configuration;
--- a/tarragonhaven/testing/entry_node.h
+++ b/tarragonhaven/testing/entry_node.h
@@ -25,6 +25,7 @@
     PipelineLimits pipeline;
     ProgressLimits progress;
     SpillOptions spill;
+    std::size_t memoryBoundBytes = 64 * 1024 * 1024;
 };
 
 // The part of a sidecar node that forwards requests: an entry that serves callers over sockets, and the guard
