--- a/tarragonhaven/memory/heap_trim_policy.h
+++ b/tarragonhaven/memory/heap_trim_policy.h
@@ -1,6 +1,5 @@
 #pragma once
 
-
 #include <cstddef>
 
 namespace tarragonhaven {
