Let a busy service use its suspect targets as a last resort again

Cause: a suspect target still serves many of these requests; a refused one is lost for its caller.

Change: AttemptPlanner passes breakers as before. Tests state both halves: an idempotent request is sent to a suspect target in the end, another never is.

--- a/tarragonhaven/attempt_planner.cc
+++ b/tarragonhaven/attempt_planner.cc
@@ -20,7 +20,7 @@
     return m_options.maximumFullQueues > 0 && m_fullQueues >= m_options.maximumFullQueues;
 }
 
-bool AttemptPlanner::isRefusedEverywhere() const { return enoughQueuesFull(); }
+bool AttemptPlanner::isRefusedEverywhere() const { return enoughQueuesFull() && !mayBypassBreaker(); }
 
 ChoiceRequest AttemptPlanner::anyTarget() const
 {
@@ -52,7 +52,8 @@
     auto request = anyTarget();
     request.lowestCost = m_options.nonQueuingAttempts > 0;
     request.remoteCostFactor = m_options.remoteCostFactor;
-    const bool lastResort = m_attempts >= m_options.nonQueuingAttempts + queuingAttempts;
+    const bool lastResort
+        = enoughQueuesFull() || m_attempts >= m_options.nonQueuingAttempts + queuingAttempts;
     if (!mayBypassBreaker() || !lastResort) {
         const auto choice = choose(request);
         if (choice.target || !mayBypassBreaker())
--- a/tarragonhaven/attempt_planner.h
+++ b/tarragonhaven/attempt_planner.h
@@ -16,10 +16,9 @@
 // that are not known to be full, in the own data centre first. They end early once enough targets in other
 // data centres had no free slot, because each such attempt carries the head of the request there. Then the
 // request queues at the target where the wait seems the shortest. If that queue and the next ones are too
-// long for the request, it cannot be served in time elsewhere either and is refused. If no target is healthy,
-// an idempotent request is sent to targets whose breakers hold back requests, if the options allow it. Other
-// requests are not, since they would only risk an outcome of "unknown", and neither is a request that healthy
-// targets are too busy for: it would select the worst target of the service.
+// long for the request, it cannot be served in time elsewhere either and is refused; an idempotent
+// request is sent to targets whose breakers hold back requests, if the options allow it. Other requests are
+// not, since they would only risk an outcome of "unknown".
 //
 // With a placement, the first attempt is made in the data centre that it names, if a target there may be
 // used, and later attempts leave out the data centres that lack capacity, unless no other target may be used.
@@ -66,8 +65,7 @@
     [[nodiscard]] bool looksForFreeSlot() const;
     [[nodiscard]] bool mayBypassBreaker() const
     {
-        return m_options.bypassBreakerAsLastResort && m_idempotent && m_fullQueues == 0
-            && m_targetsWithoutFreeSlot.empty();
+        return m_options.bypassBreakerAsLastResort && m_idempotent;
     }
     [[nodiscard]] bool enoughQueuesFull() const;
 
