Share the event queue of the models and other pieces that stood twice

Cause: the model of spill-over repeated the event queue and the planning options of the model of an overloaded service; two test files read the memory of a process; two nodes derived the bound of memory; the entry collected unreachable targets ten times a second while spill-over was disabled. A comment stood above the wrong function, and one stated a time that was not measured.

Change: EventQueue serves three models, sidecarOptions(), memoryUsage() and memoryBoundFor() are defined once, and the entry skips spill-over while it is disabled. Behaviour and assertions are unchanged.

--- a/tarragonhaven/attempt_planner.h
+++ b/tarragonhaven/attempt_planner.h
@@ -40,8 +40,8 @@
     }
 
     // Sets the data centre of the first attempt, and those that later attempts avoid.
-    [[nodiscard]] const SpillPlacement& placement() const { return m_placement; }
     void setPlacement(SpillPlacement placement) { m_placement = std::move(placement); }
+    [[nodiscard]] const SpillPlacement& placement() const { return m_placement; }
     // Returns the next attempt. Its choice has no target if none may be used.
     [[nodiscard]] Attempt next(const Choose& choose) const;
     // Records that an attempt was made. `remote` says whether the target is in another data centre.
--- a/tarragonhaven/entry.cc
+++ b/tarragonhaven/entry.cc
@@ -99,7 +99,8 @@
         for (const auto& decision : service.evaluate(now))
             logEjection(name, decision);
     }
-    updateSpillOver(now);
+    if (m_dependencies.options.spill.enabled)
+        updateSpillOver(now);
 }
 
 void Entry::logEjection(const ServiceName& service, const EjectionDecision& decision)
--- a/tarragonhaven/memory/heap_trim_policy.h
+++ b/tarragonhaven/memory/heap_trim_policy.h
@@ -25,7 +25,7 @@
     }
 
 private:
-    // A tenth of the memory of an idle process. Trimming takes milliseconds for a heap of this size.
+    // A tenth of the memory of an idle process.
     static constexpr std::size_t minimumGrowthBytes = 1024 * 1024;
     static constexpr std::size_t risingBytes = 256 * 1024;
 
--- a/tarragonhaven/memory/machine_memory.cc
+++ b/tarragonhaven/memory/machine_memory.cc
@@ -35,4 +35,9 @@
     return bytes;
 }
 
+std::size_t memoryBoundFor(std::size_t settingBytes)
+{
+    return settingBytes > 0 ? settingBytes : memoryBound(machineMemory());
+}
+
 } // namespace tarragonhaven
--- a/tarragonhaven/node.cc
+++ b/tarragonhaven/node.cc
@@ -5,7 +5,6 @@
 #include "tarragonhaven/log_writer.h"
 #include "tarragonhaven/memory/descriptor_limit.h"
 #include "tarragonhaven/memory/machine_memory.h"
-#include "tarragonhaven/memory/memory_bound.h"
 #include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/node_traffic.h"
@@ -46,7 +45,7 @@
               logWriter.channel(), configuration.controlEvents(), configuration.peerRevisions() })
         , traffic({ settings, hello, state, logWriter.channel(), configuration.trafficEvents(),
               control.requests(), control.replies(), idempotencySecret, connections,
-              settings.memoryBoundBytes > 0 ? settings.memoryBoundBytes : memoryBound(machineMemory()) })
+              memoryBoundFor(settings.memoryBoundBytes) })
         , operators(state, logWriter.channel(), connections.operators, traffic.statusRequests(),
               traffic.statusReplies())
     {
--- a/tarragonhaven/sidecar_node.h
+++ b/tarragonhaven/sidecar_node.h
@@ -5,7 +5,6 @@
 #include "tarragonhaven/log_writer.h"
 #include "tarragonhaven/memory/descriptor_limit.h"
 #include "tarragonhaven/memory/machine_memory.h"
-#include "tarragonhaven/memory/memory_bound.h"
 #include "tarragonhaven/memory/node_connection_limits.h"
 #include "tarragonhaven/node_state.h"
 #include "tarragonhaven/operator_server.h"
@@ -39,7 +38,8 @@
         , m_connections(connectionLimits(m_settings.connections, descriptorLimit()))
         , m_discovery(std::move(makeStore), directoryOptions(m_settings), m_logWriter.channel())
         , m_traffic({ m_settings, makeHello(m_settings), m_state, m_logWriter.channel(), m_discovery.events(),
-              m_discovery.counters(), headerNames, m_connections, memoryBoundOf(m_settings) })
+              m_discovery.counters(), headerNames, m_connections,
+              memoryBoundFor(m_settings.memoryBoundBytes) })
         , m_operators(m_state, m_logWriter.channel(), m_connections.operators, m_traffic.statusRequests(),
               m_traffic.statusReplies())
     {
@@ -112,11 +112,6 @@
         return { peerProtocolVersion, settings.fleet, settings.instance.text, incarnation };
     }
 
-    static std::size_t memoryBoundOf(const SidecarSettings& settings)
-    {
-        return settings.memoryBoundBytes > 0 ? settings.memoryBoundBytes : memoryBound(machineMemory());
-    }
-
     static DirectoryOptions directoryOptions(const SidecarSettings& settings)
     {
         DirectoryOptions options;
--- a/tarragonhaven/testing/body_memory_test.cc
+++ b/tarragonhaven/testing/body_memory_test.cc
@@ -1,9 +1,9 @@
 // The memory of a node while targets and callers send bodies without end, over sockets.
 
+#include "tarragonhaven/testing/client_flood_usage.h"
 #include "tarragonhaven/testing/entry_node.h"
 #include "tarragonhaven/testing/local_fleet.h"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <list>
 #include <thread>
+#include <unistd.h>
 
 namespace tarragonhaven::testing {
 
@@ -40,19 +41,6 @@
     const std::string largeChunks = "10000\r\n" + std::string(65'536, 'x') + "\r\n";
     const std::string garbage(60'000, 'x');
 
-    long memoryKb(const std::string& field)
-    {
-        std::ifstream status("/proc/self/status");
-        std::string line;
-        long kilobytes = 0;
-        while (std::getline(status, line)) {
-            if (line.starts_with(field + ":"))
-                static_cast<void>(absl::SimpleAtoi(
-                    line.substr(field.size() + 1, line.find("kB") - field.size() - 1), &kilobytes));
-        }
-        return kilobytes;
-    }
-
     // Measures the growth of the resident memory of this process at its peak.
     class PeakMemory {
     public:
@@ -60,9 +48,9 @@
         {
             // Resets the peak.
             std::ofstream("/proc/self/clear_refs") << "5";
-            m_beforeKb = memoryKb("VmRSS");
+            m_beforeKb = memoryUsage(::getpid()).residentKb;
         }
-        [[nodiscard]] long growthKb() const { return memoryKb("VmHWM") - m_beforeKb; }
+        [[nodiscard]] long growthKb() const { return memoryUsage(::getpid()).peakKb - m_beforeKb; }
 
     private:
         long m_beforeKb = 0;
--- a/tarragonhaven/testing/overload_choice_test.cc
+++ b/tarragonhaven/testing/overload_choice_test.cc
@@ -2,6 +2,7 @@
 // choice of targets under a steady load, without sockets and with a virtual clock.
 
 #include "tarragonhaven/testing/overloaded_service.h"
+#include "tarragonhaven/testing/sidecar_entry_options.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,19 +11,6 @@
 
 namespace {
 
-EntryOptions sidecarOptions()
-{
-    EntryOptions options;
-    options.nonQueuingAttempts = 5;
-    options.remoteNonQueuingAttempts = 1;
-    options.remoteCostFactor = 1.5;
-    options.spilloverLoad = 0.7;
-    options.queueTimeoutShareOfObjective = 1.5;
-    options.maximumFullQueues = 5;
-    options.noSuccessPenalty = 0.5;
-    return options;
-}
-
 // Runs the service at a multiple of its capacity.
 OverloadResult runAt(double load, unsigned seed)
 {
--- a/tarragonhaven/testing/overloaded_service.cc
+++ b/tarragonhaven/testing/overloaded_service.cc
@@ -67,17 +67,15 @@
 
 void OverloadedService::schedule(util::Time at, std::function<void()> action)
 {
-    m_events.push({ at, m_eventCount++, std::move(action) });
+    m_events.schedule(at, std::move(action));
 }
 
 OverloadResult OverloadedService::run()
 {
     schedule(m_now, [this] { arrive(); });
-    while (!m_events.empty()) {
-        const auto event = m_events.top();
-        m_events.pop();
-        m_now = event.at;
-        event.action();
+    while (const auto event = m_events.takeNext()) {
+        m_now = event->at;
+        event->action();
     }
     return m_result;
 }
--- a/tarragonhaven/testing/overloaded_service.h
+++ b/tarragonhaven/testing/overloaded_service.h
@@ -2,6 +2,7 @@
 
 #include "tarragonhaven/attempt_planner.h"
 #include "tarragonhaven/service_health.h"
+#include "tarragonhaven/testing/event_queue.h"
 
 #include <cstdint>
 #include <deque>
@@ -9,7 +10,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <vector>
 
@@ -80,15 +80,6 @@
         double meanHoldSeconds = 0;
         TargetReport report;
     };
-    struct Event {
-        util::Time at {};
-        std::uint64_t number = 0;
-        std::function<void()> action;
-        bool operator<(const Event& other) const
-        {
-            return at > other.at || (at == other.at && number > other.number);
-        }
-    };
 
     void scheduleEvacuation(const Service& service);
     void evacuateGuard(std::size_t target);
@@ -107,8 +98,7 @@
     util::Time m_now { std::chrono::hours(1) };
     util::Time m_end {};
     std::optional<util::Time> m_evacuatedFrom;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_eventCount = 0;
+    EventQueue m_events;
     std::vector<GuardModel> m_guards;
     std::vector<std::unique_ptr<ServiceHealth>> m_entries;
     OverloadResult m_result;
--- a/tarragonhaven/testing/quota_fleet.cc
+++ b/tarragonhaven/testing/quota_fleet.cc
@@ -31,16 +31,14 @@
 
 void QuotaFleet::at(util::Time time, std::function<void()> action)
 {
-    m_events.push({ time, ++m_lastEvent, std::move(action) });
+    m_events.schedule(time, std::move(action));
 }
 
 void QuotaFleet::runUntil(util::Time end)
 {
-    while (!m_events.empty() && m_events.top().time <= end) {
-        const auto event = m_events.top();
-        m_events.pop();
-        m_now = event.time;
-        event.action();
+    while (const auto event = m_events.takeNext(end)) {
+        m_now = event->at;
+        event->action();
     }
     m_now = end;
 }
--- a/tarragonhaven/testing/quota_fleet.h
+++ b/tarragonhaven/testing/quota_fleet.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "tarragonhaven/limits/quota_node.h"
+#include "tarragonhaven/testing/event_queue.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -53,16 +53,6 @@
     [[nodiscard]] std::uint64_t bytes() const { return m_bytes; }
 
 private:
-    struct Event {
-        util::Time time;
-        std::uint64_t number = 0;
-        std::function<void()> action;
-        friend bool operator<(const Event& a, const Event& b)
-        {
-            return std::pair(a.time, a.number) > std::pair(b.time, b.number);
-        }
-    };
-
     void send(std::size_t from, std::size_t to, const ControlMessage& message);
     void deliver(std::size_t from, std::size_t to, const ControlMessage& message);
     void scheduleTick(std::size_t index, std::uint64_t start);
@@ -71,8 +61,7 @@
     Shape m_shape;
     std::mt19937 m_random;
     util::Time m_now { std::chrono::hours(1) };
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_lastEvent = 0;
+    EventQueue m_events;
     std::vector<std::unique_ptr<QuotaNode>> m_nodes;
     // How often each node was started, so that events for an earlier start are ignored.
     std::vector<std::uint64_t> m_starts;
--- a/tarragonhaven/testing/spill_model.cc
+++ b/tarragonhaven/testing/spill_model.cc
@@ -1,4 +1,5 @@
 #include "tarragonhaven/testing/spill_model.h"
+#include "tarragonhaven/testing/sidecar_entry_options.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,20 +21,6 @@
     constexpr double largeMegabytes = 1;
     constexpr double smallMegabytes = 0.002;
 
-    // The options of the sidecar node.
-    EntryOptions sidecarOptions()
-    {
-        EntryOptions options;
-        options.nonQueuingAttempts = 5;
-        options.remoteNonQueuingAttempts = 1;
-        options.remoteCostFactor = 1.5;
-        options.spilloverLoad = 0.7;
-        options.queueTimeoutShareOfObjective = 1.5;
-        options.maximumFullQueues = 5;
-        options.noSuccessPenalty = 0.5;
-        return options;
-    }
-
     DataCentreName nameOf(int dataCentre) { return { std::to_string(dataCentre) }; }
 
 } // namespace
@@ -96,7 +83,7 @@
 
 void SpillModel::after(double seconds, std::function<void()> action)
 {
-    m_events.push({ m_now + util::fromSeconds(seconds), m_eventCount++, std::move(action) });
+    m_events.schedule(m_now + util::fromSeconds(seconds), std::move(action));
 }
 
 SpillResult SpillModel::run()
@@ -106,11 +93,9 @@
     after(0, [this] { tick(); });
     if (m_shape.lostFrom >= 0)
         after(m_shape.lostFrom, [this] { loseTargets(); });
-    while (!m_events.empty()) {
-        const auto event = m_events.top();
-        m_events.pop();
-        m_now = event.at;
-        event.action();
+    while (const auto event = m_events.takeNext()) {
+        m_now = event->at;
+        event->action();
     }
     m_result.meanSeconds /= std::max(1, m_result.served);
     for (std::size_t i = 0; i < m_firstAttempts.size(); ++i)
--- a/tarragonhaven/testing/spill_model.h
+++ b/tarragonhaven/testing/spill_model.h
@@ -3,6 +3,7 @@
 #include "tarragonhaven/attempt_planner.h"
 #include "tarragonhaven/service_health.h"
 #include "tarragonhaven/spillover/service_spill.h"
+#include "tarragonhaven/testing/event_queue.h"
 
 #include <cstdint>
 #include <deque>
@@ -10,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <queue>
 #include <random>
 #include <vector>
 
@@ -110,15 +110,6 @@
         RoundTrips roundTrips;
         std::map<TargetName, util::Time> avoided;
     };
-    struct Event {
-        util::Time at {};
-        std::uint64_t number = 0;
-        std::function<void()> action;
-        bool operator<(const Event& other) const
-        {
-            return at > other.at || (at == other.at && number > other.number);
-        }
-    };
 
     void after(double seconds, std::function<void()> action);
     [[nodiscard]] double elapsed() const { return util::toSeconds(m_now - m_start); }
@@ -150,8 +141,7 @@
     std::mt19937_64 m_demandRandom;
     util::Time m_start { std::chrono::hours(1) };
     util::Time m_now = m_start;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_eventCount = 0;
+    EventQueue m_events;
     Service m_service;
     std::vector<Guard> m_guards;
     std::vector<Entry> m_entries;
