Show that a second stop signal ends a node with requests in progress

awaitDrained() gives up at any further SIGTERM, and the program then exits at once. A machine that is stopped in turn gets one more when the upstream beside it has ended.

--- a/review/rig-2/rig.cc
+++ b/review/rig-2/rig.cc
@@ -28,6 +28,7 @@
     constexpr const char* requestIdField = "X-Tarragonhaven-Request-Id";
     constexpr const char* program = "target/tarragonhaven_sidecar";
     constexpr Milliseconds heartbeat { 1500 };
+    constexpr int drainingSequence = 1000;
 
     sockaddr_in toSocketAddress(const Address& address)
     {
@@ -617,7 +618,8 @@
         const std::scoped_lock lock(m_mutex);
         for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
             if (!m_removed.contains(i))
-                m_store->put("servers/" + m_upstreams[i]->options().id, m_upstreams[i]->entry(sequence));
+                m_store->put("servers/" + m_upstreams[i]->options().id,
+                    m_upstreams[i]->entry(sequence, m_draining.contains(i)));
         }
     };
     beat(1);
@@ -653,6 +655,16 @@
     m_store->remove("servers/" + m_upstreams.at(index)->options().id);
 }
 
+void Deployment::announceDraining(std::size_t index)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_draining.insert(index);
+    // Above the sequence numbers of the heartbeats before it.
+    m_store->put("servers/" + m_upstreams.at(index)->options().id,
+        m_upstreams.at(index)->entry(drainingSequence, true));
+    m_removed.insert(index);
+}
+
 std::set<std::string> Deployment::cutRuns()
 {
     std::set<std::string> result;
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -185,6 +185,8 @@
     [[nodiscard]] std::vector<Run> runs();
     // Returns the requests that it gave up because their connection ended while it ran them.
     [[nodiscard]] std::set<std::string> cutRuns();
+    // Exits: closes its listener and its connections.
+    void end() { m_server.reset(); }
     [[nodiscard]] int running() const { return m_running.load(); }
     // The entry that it writes to the store.
     [[nodiscard]] std::string entry(int sequence, bool draining = false) const;
@@ -272,6 +274,8 @@
     Store& store() { return *m_store; }
     // Removes the entry of an upstream for good, which goes on serving.
     void removeEntry(std::size_t index);
+    // Makes an upstream report that it is draining.
+    void announceDraining(std::size_t index);
 
 private:
     std::string m_network;
@@ -283,6 +287,7 @@
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::mutex m_mutex;
     std::set<std::size_t> m_removed;
+    std::set<std::size_t> m_draining;
     std::thread m_heartbeats;
     std::atomic<bool> m_stopping { false };
 };
