Keep a stopping node running while targets that left have requests

Cause: Guard::busy() asked only the targets that the directory lists. A node whose target had left it took itself for idle and ended its process 2 to 3 s before the end of its grace period. Starts of a target that a later start had replaced were not asked either.

The guard now remembers targets that are removed or replaced with requests in progress, until these have ended. References are weak: each request keeps its target alive, so nothing is kept longer than it is of use.

--- a/tarragonhaven/guard.cc
+++ b/tarragonhaven/guard.cc
@@ -12,6 +12,12 @@
     // How long the state of a target is kept that the directory no longer lists.
     constexpr util::Duration unlistedRetention = std::chrono::minutes(10);
 
+    bool isBusy(const std::weak_ptr<GuardedTarget>& target)
+    {
+        const auto locked = target.lock();
+        return locked && locked->busy();
+    }
+
 } // namespace
 
 Guard::Guard(boost::asio::io_context& io, InstanceName self, std::uint64_t incarnation, GuardOptions options)
@@ -74,8 +80,11 @@
             m_targets.emplace(target.name, std::move(guarded));
         }
     }
+    std::erase_if(m_finishing, [](const auto& target) { return !isBusy(target); });
     for (const auto& [name, removed] : previous) {
         removed->retire();
+        if (removed->busy())
+            m_finishing.push_back(removed);
         if (!m_targets.contains(name))
             m_unlisted[name] = { removed, now };
     }
@@ -188,8 +197,9 @@
 
 bool Guard::busy() const
 {
-    return std::any_of(
-        m_targets.begin(), m_targets.end(), [](const auto& item) { return item.second->busy(); });
+    return std::any_of(m_targets.begin(), m_targets.end(), [](const auto& item) {
+        return item.second->busy();
+    }) || std::any_of(m_finishing.begin(), m_finishing.end(), isBusy);
 }
 
 void Guard::drain()
--- a/tarragonhaven/guard.h
+++ b/tarragonhaven/guard.h
@@ -74,7 +74,8 @@
     // does not name the run that makes it, so as many count as the share of repeats among the present runs.
     bool takeNestedRepeat();
 
-    // Returns whether any request is running at a target or waiting for one.
+    // Returns whether any request is running at a target or waiting for one, also at a target that the
+    // directory no longer lists.
     [[nodiscard]] bool busy() const;
     [[nodiscard]] const std::map<TargetName, std::shared_ptr<GuardedTarget>>& targets() const
     {
@@ -120,6 +121,9 @@
     std::map<TargetName, std::shared_ptr<GuardedTarget>> m_targets;
     // Targets that the directory listed before.
     std::map<TargetName, UnlistedTarget> m_unlisted;
+    // Starts of targets that were removed or replaced with requests in progress. The requests keep them
+    // alive.
+    std::vector<std::weak_ptr<GuardedTarget>> m_finishing;
 };
 
 } // namespace tarragonhaven
--- a/tarragonhaven/testing/guard_test.cc
+++ b/tarragonhaven/testing/guard_test.cc
@@ -94,6 +94,37 @@
     }
 }
 
+// Guards against a stopping node that ends with requests in progress at a target that has left the directory.
+TEST_CASE("a guard is busy until the requests of a target that has left the directory have ended")
+{
+    boost::asio::io_context io;
+    Guard guard(io, { "i1" }, 1);
+    guard.apply(directoryWith({ makeTarget(100) }));
+    const auto target = guard.find({ "t1" });
+    RequestContext context;
+    context.deadline = util::BootClock::now() + std::chrono::minutes(1);
+    const auto ticket = target->acquireSlot(context, [](const Outcome<void>&) {});
+    io.run();
+    REQUIRE(guard.busy());
+    SECTION("its record is removed") { guard.apply(directoryWith({})); }
+    SECTION("its record is removed, and a later start of it is removed too")
+    {
+        guard.apply(directoryWith({}));
+        guard.apply(directoryWith({ makeTarget(200) }));
+        guard.apply(directoryWith({}));
+    }
+    SECTION("a later start takes its place") { guard.apply(directoryWith({ makeTarget(200) })); }
+    SECTION("it is listed again")
+    {
+        guard.apply(directoryWith({}));
+        guard.apply(directoryWith({ makeTarget(100) }));
+    }
+    guard.drain();
+    CHECK(guard.busy());
+    target->releaseSlot(ticket);
+    CHECK_FALSE(guard.busy());
+}
+
 // Guards against a guard that paces its target for the whole time of a cold start although the target is
 // warm, and against probes that take up the target's slots if it does not answer them.
 TEST_CASE(
