Let a stopping node complete its requests when it is signalled again

Two planned changes may stop the same node, and supervisors repeat signals.

Cause: awaitDrained() ended the process at a second SIGTERM or SIGINT. It now waits for the end of the planned stop only; the signals stay blocked, so they have no effect. The grace period bounds the stop as before, and SIGKILL ends a node at once.

Evidence: stop_signal_test sends a signal three times while a request runs.

--- a/tarragonhaven/sidecar_main.h
+++ b/tarragonhaven/sidecar_main.h
@@ -12,7 +12,7 @@
 
 // The main function of a sidecar node. `makeStore` creates the store client from the settings and the
 // io_context of the thread that uses it. Returns the exit code if the node cannot start. Otherwise ends the
-// process with code 0, after a planned stop or at a second stop signal.
+// process with code 0 after a planned stop.
 template <RecordStore Store, typename MakeStore>
 int runSidecar(int argumentCount, char** arguments, const HeaderNames& headerNames, MakeStore makeStore)
 {
@@ -34,8 +34,7 @@
     }
     awaitStopSignal(signals, [&node] { node->recordReload(rereadSidecarFlags()); });
     node->beginStop();
-    if (!awaitDrained(signals, [&node] { return node->drained(); }))
-        std::_Exit(0);
+    awaitDrained([&node] { return node->drained(); });
     node.reset();
     // The whole log has been written at this point. Returning from main would wait until the logging
     // library's thread pool ends, and on a machine with little processor time the node's ports would stay in
--- a/tarragonhaven/stop_signals.cc
+++ b/tarragonhaven/stop_signals.cc
@@ -1,6 +1,7 @@
 #include "tarragonhaven/stop_signals.h"
 
-#include <ctime>
+#include <chrono>
+#include <thread>
 
 namespace tarragonhaven {
 
@@ -25,15 +26,12 @@
     }
 }
 
-bool awaitDrained(const sigset_t& signals, const std::function<bool()>& drained)
+// The signals stay blocked, so that they neither interrupt the wait nor end the process.
+void awaitDrained(const std::function<bool()>& drained)
 {
-    constexpr timespec pollInterval { 0, 20'000'000 };
-    while (!drained()) {
-        const int signal = sigtimedwait(&signals, nullptr, &pollInterval);
-        if (signal == SIGTERM || signal == SIGINT)
-            return false;
-    }
-    return true;
+    constexpr auto pollInterval = std::chrono::milliseconds(20);
+    while (!drained())
+        std::this_thread::sleep_for(pollInterval);
 }
 
 } // namespace tarragonhaven
--- a/tarragonhaven/stop_signals.h
+++ b/tarragonhaven/stop_signals.h
@@ -12,8 +12,8 @@
 // Waits for SIGTERM or SIGINT. Calls `onReload` for each SIGHUP that arrives until then.
 void awaitStopSignal(const sigset_t& signals, const std::function<void()>& onReload);
 
-// Waits until `drained` returns true. Returns false if a second SIGTERM or SIGINT arrives first; the process
-// should then end at once.
-bool awaitDrained(const sigset_t& signals, const std::function<bool()>& drained);
+// Waits until `drained` returns true. Signals that arrive meanwhile have no effect: whatever stops the node
+// once more, its requests in progress are completed, and it ends within its grace period.
+void awaitDrained(const std::function<bool()>& drained);
 
 } // namespace tarragonhaven
--- a/tarragonhaven/tarragonhaven_node.cc
+++ b/tarragonhaven/tarragonhaven_node.cc
@@ -62,9 +62,9 @@
 constexpr const char* usage
     = "Runs the proxy node of one instance: accepts requests of callers and guards the targets there.\n\n"
       "Each flag may be set by an environment variable instead, as in TARRAGONHAVEN_CALLER_ADDRESS for\n"
-      "--caller_address; the command line takes precedence. SIGTERM or SIGINT begins a planned stop; a "
-      "second "
-      "signal ends the process immediately.\n"
+      "--caller_address; the command line takes precedence. SIGTERM or SIGINT begins a planned stop, "
+      "which\n"
+      "further signals do not shorten.\n"
       "Exit codes: 0 after a planned stop, 1 when the sockets cannot be opened, 2 for invalid settings.";
 
 tarragonhaven::RawNodeSettings rawSettings()
@@ -121,7 +121,6 @@
     // The settings come only from flags and the environment, so there is nothing to reload on SIGHUP.
     tarragonhaven::awaitStopSignal(signals, [] {});
     node.beginStop();
-    if (!tarragonhaven::awaitDrained(signals, [&node] { return node.drained(); }))
-        std::_Exit(0);
+    tarragonhaven::awaitDrained([&node] { return node.drained(); });
     return 0;
 }
--- a/tarragonhaven/testing/client_flood_fleet.h
+++ b/tarragonhaven/testing/client_flood_fleet.h
@@ -78,15 +78,23 @@
     [[nodiscard]] static bool serves(int node)
     {
         return eventually([node] {
-            HttpCaller caller(address(node, callerPort), std::chrono::seconds(2));
-            const auto key = absl::StrCat(platform::headerNames().keyScheme, " ", organisationKey);
-            const auto response = caller.send({ "GET", "/status/ordinary",
-                { { "Host", host }, { "Authorization", key },
-                    { platform::headerNames().requestId, absl::StrCat("ordinary-", node) } },
-                "" });
+            const auto response = sendOrdinary(node, "GET", "/status/ordinary", std::chrono::seconds(2));
             return response && response->status == 200 && response->complete;
         });
     }
+    // Sends one ordinary request to a node. Returns nothing if it gets no response within `timeout`.
+    static std::optional<CallerResponse> sendOrdinary(int node, const std::string& method,
+        const std::string& path, std::chrono::milliseconds timeout = std::chrono::seconds(10))
+    {
+        HttpCaller caller(address(node, callerPort), timeout);
+        const auto key = absl::StrCat(platform::headerNames().keyScheme, " ", organisationKey);
+        return caller.send({ method, path,
+            { { "Host", host }, { "Authorization", key },
+                { platform::headerNames().requestId, absl::StrCat("ordinary-", node) } },
+            "" });
+    }
+    // The target beside a node, if FloodFleetOptions::tinyChunks is not set.
+    [[nodiscard]] FakeTarget& target(int node) { return *m_targets.at(static_cast<std::size_t>(node - 1)); }
     [[nodiscard]] std::vector<SpawnedProcess*> processes() const
     {
         std::vector<SpawnedProcess*> result;
