Do not promise "not run" for a request that a target may have run

On the platform 408, 421, 429 and 503 promise that a request has not run, so that callers send it again.

Cause: responses of targets were passed on with their status, though a target states "not run" by a header field and a caller reads it from the status.

Such a response now becomes a refusal with 502 and the run state "unknown". It is read to its end first, so the connection is kept. Responses to idempotent requests are unchanged, as are those in fleets with a declaration, where Tarragonhaven-Run states it. The decisions on outcomes of attempts move from entry_exchange.cc, which is too long, into a file of their own.

The rule that a target's status is returned unchanged cannot hold together with the promise; the node then returns no part of the response. x86-64; arm64 was not built.

--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -4,6 +4,7 @@
 
 #include "tarragonhaven/entry_exchange.h"
 
+#include "tarragonhaven/attempt_outcome.h"
 #include "util/check.h"
 
 #include <algorithm>
@@ -14,48 +15,12 @@
 
 namespace {
 
-    // The limit of attempts per request. Each refusal by a guard costs a network hop, so a request that all
-    // guards refuse is given up after this number of attempts.
-    constexpr int maximumAttempts = 10;
     constexpr std::size_t replayBodyLimitBytes = 64 * 1024;
-    constexpr int firstServerErrorStatus = 500;
     // How long a target is avoided when its guard is unreachable or stopping.
     constexpr util::Duration unreachableAvoidance = std::chrono::milliseconds(1500);
-    constexpr util::Duration noTargetRetryAfter = std::chrono::seconds(1);
     // No retry is started with less time than this before the deadline, since it would not reach a target.
     constexpr util::Duration minimumAttemptTime = std::chrono::milliseconds(20);
 
-    IdempotencyOutcome outcomeOf(RunState run)
-    {
-        return run == RunState::NotRun ? IdempotencyOutcome::NotRun : IdempotencyOutcome::Unknown;
-    }
-
-    Refusal failureOf(const ResponseHead& head)
-    {
-        return { RefusalReason::TargetFailed, RunState::Unknown, noTargetRetryAfter,
-            "target responded with status " + std::to_string(head.status) };
-    }
-
-    // A request that has waited at a target until its data centre was evacuated gets more attempts, to be
-    // placed elsewhere.
-    int attemptLimit(const Refusal& refusal)
-    {
-        return refusal.reason == RefusalReason::TargetEvacuated ? 2 * maximumAttempts : maximumAttempts;
-    }
-
-    // Returns whether the target received the request, so that another attempt counts as a retry.
-    bool reachedTarget(const Refusal& refusal)
-    {
-        return refusal.run != RunState::NotRun || refusal.reason == RefusalReason::TargetShed;
-    }
-
-    // Returns whether a request was refused because the service has too few slots for all requests.
-    bool lacksCapacity(RefusalReason reason)
-    {
-        return reason == RefusalReason::NoFreeSlot || reason == RefusalReason::QueueFull
-            || reason == RefusalReason::QueueTimeout || reason == RefusalReason::NoTarget;
-    }
-
 } // namespace
 
 EntryExchange::EntryExchange(Entry& entry, AcceptedRequest request, std::shared_ptr<BodyBudget> budget)
@@ -446,7 +411,7 @@
         return onHeadRead(std::move(head), handler);
     if (!head)
         return onHedgeFailed(head.error());
-    if (head->status >= firstServerErrorStatus)
+    if (isServerError(head->status))
         return onHedgeFailed(failureOf(*head));
     recordAbandonedRun();
     promoteHedge();
@@ -499,7 +464,7 @@
 
 void EntryExchange::onHeadRead(Outcome<ResponseHead> head, const OutcomeHandler<ResponseHead>& handler)
 {
-    const bool failed = !head || head->status >= firstServerErrorStatus;
+    const bool failed = !head || isServerError(head->status);
     if (failed && m_hedge && m_hedge->awaitsHead) {
         const auto refusal = head ? failureOf(*head) : head.error();
         recordRefusal(m_target, refusal);
@@ -544,8 +509,12 @@
 
 void EntryExchange::onResponse(const ResponseHead& head, const OutcomeHandler<ResponseHead>& handler)
 {
-    const bool failure = head.status >= firstServerErrorStatus && m_request.context.idempotent;
-    if (!failure)
+    if (!m_request.context.idempotent) {
+        const auto& headerNames = m_entry.dependencies().options.headerNames;
+        const auto refusal = unprovenStatusRefusal(head, headerNames);
+        return refusal ? onAttemptFailed(*refusal, handler) : passResponse(head, handler);
+    }
+    if (!isServerError(head.status))
         return passResponse(head, handler);
     recordFailedAttempt(failureOf(head), [self = shared_from_this(), head, handler](bool retried) {
         if (!retried)
--- a/tarragonhaven/testing/entry_node.cc
+++ b/tarragonhaven/testing/entry_node.cc
@@ -19,6 +19,7 @@
     {
         EntryOptions result;
         result.headerNames = entryNodeHeaderNames();
+        result.headerNames.strictRefusals = options.strictRefusals;
         result.nonQueuingAttempts = 5;
         result.remoteNonQueuingAttempts = 1;
         result.hedgeShareOfObjective = 0.7;
--- a/tarragonhaven/testing/entry_node.h
+++ b/tarragonhaven/testing/entry_node.h
@@ -20,6 +20,8 @@
     // Whether POST requests are idempotent too, if the others are.
     bool idempotentPosts = true;
     int attempts = 3;
+    // HeaderNames::strictRefusals.
+    bool strictRefusals = false;
     std::size_t bufferedResponseBytes = 1024 * 1024;
     CallerLimits callerLimits;
     PipelineLimits pipeline;
