Refuse a response without a length if the request was not sent

Cause: the kernel reports the reset of a connection to one call. If that is a write of the request, the read that follows sees the end of the stream, which is the regular end of a response without a length.

Such a response is now refused (502 target-bad-framing, run unknown) if the request could not be sent completely. After a failed write the end of the stream proves nothing; a response with a length or in chunks states its own end. A whole response without a length to an unread upload is refused too, since nothing tells it from a part.

--- a/tarragonhaven/target_connection.cc
+++ b/tarragonhaven/target_connection.cc
@@ -8,13 +8,9 @@
 #include "tarragonhaven/body_reader.h"
 #include "tarragonhaven/http_fields.h"
 #include "tarragonhaven/message_parser.h"
+#include "tarragonhaven/response_head.h"
 #include "tarragonhaven/socket_options.h"
-#include "util/text.h"
 
-#include <absl/strings/ascii.h>
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
-#include <absl/strings/strip.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -262,11 +258,17 @@
         ResponseHead head = toHead();
         if (isMismatched(head))
             return skipMismatchedResponse(head, handler);
-        updateMaximumIdleTime();
+        if (const auto time = keepAliveTime(message.base()))
+            m_maximumIdleTime = std::max<util::Duration>(*time - idleMargin, {});
         const bool unframed = head.hasBody && !m_parser->chunked() && !m_parser->content_length();
         if (unframed && !m_options.allowUnframedResponses)
             return handler(tl::unexpected(makeRefusal(RefusalReason::TargetBadFraming, RunState::Unknown,
                 "response has neither Content-Length nor chunked encoding")));
+        // A failed write takes the error of a connection that was reset, so that reading ends as if the
+        // target had closed it: a response that was cut off could not be distinguished from a complete one.
+        if (unframed && !m_requestSent)
+            return handler(tl::unexpected(makeRefusal(RefusalReason::TargetBadFraming, RunState::Unknown,
+                "response without a length to a request that could not be sent completely")));
         if (!head.hasBody)
             finishResponse();
         handler(std::move(head));
@@ -315,35 +317,11 @@
         });
     }
 
-    // Takes the limit from the header field "Keep-Alive: timeout=SECONDS".
-    void updateMaximumIdleTime()
-    {
-        const auto value = m_parser->get()[http::field::keep_alive];
-        for (const auto part : absl::StrSplit(absl::string_view(value.data(), value.size()), ',')) {
-            auto item = absl::StripAsciiWhitespace(part);
-            int seconds = 0;
-            if (absl::ConsumePrefix(&item, "timeout=") && absl::SimpleAtoi(item, &seconds))
-                m_maximumIdleTime = std::max<util::Duration>(std::chrono::seconds(seconds) - idleMargin, {});
-        }
-    }
-
     ResponseHead toHead()
     {
-        const auto& message = m_parser->get();
-        ResponseHead head;
-        head.status = static_cast<int>(message.result_int());
-        const auto connection = message[http::field::connection];
-        const std::string_view connectionValue(connection.data(), connection.size());
-        for (const auto& field : message) {
-            const std::string name(field.name_string());
-            if (!isHopByHop(name, connectionValue))
-                head.fields.push_back({ name, std::string(field.value()) });
-        }
         const auto length = m_parser->content_length();
-        head.contentLength = length ? static_cast<std::int64_t>(*length) : -1;
-        const bool bodiless = m_isHead || head.status == 204 || head.status == 304;
-        head.hasBody = !bodiless && (m_parser->chunked() || !length || *length > 0);
-        return head;
+        return toResponseHead(m_parser->get().base(),
+            { m_parser->chunked(), length ? std::optional<std::uint64_t>(*length) : std::nullopt, m_isHead });
     }
 
     void onBodyRead(error_code error, BodyChunk chunk, const OutcomeHandler<BodyChunk>& handler)
--- a/tarragonhaven/target_connection.h
+++ b/tarragonhaven/target_connection.h
@@ -13,7 +13,8 @@
 // Settings of a connection to a target.
 struct TargetConnectionOptions {
     // Whether a response with neither Content-Length nor chunked encoding is accepted; it ends with its
-    // connection. A connection reset still counts as a cut response.
+    // connection. A connection reset still counts as a cut response, and so does each such response to a
+    // request that could not be sent completely.
     bool allowUnframedResponses = false;
     // The header field in which a response repeats the id of its request. If set, responses to other requests
     // that arrive first are skipped. Empty for none.
