Deliver what a guard answers before the end of an upload

Cause: after the response the guard's session took the rest of the upload for an unexpected frame and closed the link with bytes unread. That resets the link, and the entry, which was still writing, closed its side as its write failed, with the response unread. Refusals in the middle of an upload were lost in the same way.

The session now reads and drops the rest of the body while it sends the response; both at a time, since an entry that writes may not read. The entry stops sending once the guard has answered, but sends a body that is short enough to be kept to its end, so that it can go to another target. A stopping node waits for sessions with a request in progress: the guard's slot is free by then, so nothing else did.

--- a/tarragonhaven/body_buffer.h
+++ b/tarragonhaven/body_buffer.h
@@ -9,6 +9,9 @@
 
 namespace tarragonhaven {
 
+// The maximum size in bytes of the body of a request that is kept to be sent again.
+inline constexpr std::size_t replayBodyLimitBytes = 64 * 1024;
+
 // A body, or a part of one, that is kept in memory in the order in which it arrived. The memory that it takes
 // is counted in a BodyBudget, which must outlive the buffer.
 class BodyBuffer {
--- a/tarragonhaven/entry_exchange.cc
+++ b/tarragonhaven/entry_exchange.cc
@@ -15,7 +15,6 @@
 
 namespace {
 
-    constexpr std::size_t replayBodyLimitBytes = 64 * 1024;
     // How long a target is avoided when its guard is unreachable or stopping.
     constexpr util::Duration unreachableAvoidance = std::chrono::milliseconds(1500);
     // No retry is started with less time than this before the deadline, since it would not reach a target.
--- a/tarragonhaven/node_traffic.cc
+++ b/tarragonhaven/node_traffic.cc
@@ -211,7 +211,7 @@
     const bool timedOut = elapsed >= m_dependencies.settings.drainTimeout;
     if (timedOut || elapsed >= idleConnectionTimeAfterStop)
         m_callers.closeIdle();
-    if (timedOut || (m_callers.empty() && !m_guard.busy()))
+    if (timedOut || (m_callers.empty() && !m_guard.busy() && !m_peerSessions.busy()))
         m_dependencies.state.drained.store(true);
 }
 
--- a/tarragonhaven/peer_exchange.cc
+++ b/tarragonhaven/peer_exchange.cc
@@ -5,6 +5,7 @@
 
 #include "tarragonhaven/peer_exchange.h"
 
+#include "tarragonhaven/body_buffer.h"
 #include "tarragonhaven/frame_timeout.h"
 
 #include <algorithm>
@@ -145,8 +146,17 @@
         });
         return;
     }
+    if (mayStopSending()) {
+        boost::asio::post(m_pool.io(), [self = shared_from_this(), handler = std::move(handler)] {
+            if (!self->m_cancelled)
+                handler(tl::unexpected(
+                    linkFailure(RunState::Unknown, "the peer has ended the request before its body")));
+        });
+        return;
+    }
     const bool last = chunk.last;
     m_bodyStarted = true;
+    m_sentBodyBytes += chunk.data.size();
     m_link->write(BodyFrame { m_context.requestId, std::move(chunk) }, bodyTimeout(),
         [self = shared_from_this(), last, handler = std::move(handler)](bool written) {
             if (!written)
@@ -156,6 +166,10 @@
         });
 }
 
+// What arrives between the OpenedFrame and the end of the request body is a response or a refusal. A body
+// that is short enough to be kept is sent to its end all the same, so that it can be sent to another target.
+bool PeerExchange::mayStopSending() { return m_sentBodyBytes > replayBodyLimitBytes && m_link->hasUnread(); }
+
 void PeerExchange::readHead(OutcomeHandler<ResponseHead> handler)
 {
     readFrame(headTimeout(),
--- a/tarragonhaven/peer_exchange.h
+++ b/tarragonhaven/peer_exchange.h
@@ -38,6 +38,8 @@
     [[nodiscard]] util::Duration headTimeout() const;
     [[nodiscard]] util::Duration bodyTimeout() const;
     void failLater(const char* reason, OutcomeHandler<BodyChunk> handler);
+    // Returns whether the rest of the request body is of no use, since the peer has ended the request.
+    [[nodiscard]] bool mayStopSending();
     Refusal refusalFrom(const std::optional<PeerFrame>& frame, RunState runStateIfLost);
     void readFrame(util::Duration timeout, PeerLink::FrameHandler handler);
     // Returns the link to the pool if the response is complete and the request was sent completely.
@@ -55,6 +57,7 @@
     bool m_cancelled = false;
     bool m_requestSent = false;
     bool m_bodyStarted = false;
+    std::size_t m_sentBodyBytes = 0;
     bool m_peerStopping = false;
 };
 
--- a/tarragonhaven/peer_link.cc
+++ b/tarragonhaven/peer_link.cc
@@ -117,15 +117,15 @@
         m_stream.socket().close(ignored);
     }
 
-    bool isReusable()
+    bool isReusable() { return !m_closed && m_error.empty() && !hasUnread(); }
+
+    bool hasUnread()
     {
-        if (m_closed || !m_error.empty())
-            return false;
         error_code error;
         m_stream.socket().non_blocking(true, error);
         char byte = 0;
         m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-        return error == asio::error::would_block;
+        return error != asio::error::would_block;
     }
 
     [[nodiscard]] const HelloFrame& peerHello() const { return m_peerHello; }
@@ -238,6 +238,8 @@
 
 bool PeerLink::isReusable() { return m_rep->isReusable(); }
 
+bool PeerLink::hasUnread() { return m_rep->hasUnread(); }
+
 const HelloFrame& PeerLink::peerHello() const { return m_rep->peerHello(); }
 
 const std::string& PeerLink::error() const { return m_rep->error(); }
--- a/tarragonhaven/peer_link.h
+++ b/tarragonhaven/peer_link.h
@@ -47,6 +47,9 @@
 
     // Returns whether an idle link is still open and has no unread bytes.
     [[nodiscard]] bool isReusable();
+    // Returns whether the peer has sent bytes that were not read, or has closed the link. No read may be in
+    // progress.
+    [[nodiscard]] bool hasUnread();
     // Returns the HelloFrame of the peer, or a default one while none has been accepted.
     [[nodiscard]] const HelloFrame& peerHello() const;
     // Returns why the link failed, for the log; empty if it has not failed.
--- a/tarragonhaven/peer_session.cc
+++ b/tarragonhaven/peer_session.cc
@@ -51,6 +51,7 @@
 {
     m_link->close();
     m_exchange.reset();
+    m_requestActive = false;
 }
 
 void PeerSession::readNextRequest()
@@ -87,6 +88,8 @@
     m_tracked->setStage(ConnectionStage::Running);
     m_context = contextOf(frame);
     m_requestBodyPending = frame.head.hasBody;
+    m_bodyRequested = false;
+    m_responseSent = false;
     m_target = m_host.guard().find({ frame.target });
     if (!m_target)
         return refuse({ RefusalReason::NoTarget, RunState::NotRun, util::Duration {},
@@ -130,40 +133,73 @@
 void PeerSession::watchForEntryDisconnect()
 {
     m_link->watchClose([weak = weak_from_this()] {
-        const auto self = weak.lock();
-        if (!self || !self->m_exchange)
-            return;
-        self->m_exchange->cancel();
-        self->disconnect();
+        if (const auto self = weak.lock())
+            self->onEntryDisconnected();
     });
 }
 
+void PeerSession::onEntryDisconnected()
+{
+    if (!m_exchange)
+        return;
+    m_exchange->cancel();
+    disconnect();
+}
+
 void PeerSession::onOpened(std::function<void(bool)> handler)
 {
     if (!m_requestBodyPending)
         return handler(true);
+    m_bodyRequested = true;
     m_link->write(OpenedFrame { m_context.requestId }, bodyTimeout(), std::move(handler));
 }
 
-void PeerSession::readBody(std::function<void(bool, BodyChunk)> handler)
+void PeerSession::readBodyFrame(util::Duration timeout, std::function<void(std::optional<BodyChunk>)> handler)
 {
-    m_link->read(bodyTimeout(),
-        [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
+    m_link->read(
+        timeout, [self = shared_from_this(), handler = std::move(handler)](std::optional<PeerFrame> frame) {
             auto* body = frame ? std::get_if<BodyFrame>(&*frame) : nullptr;
-            const bool matchesRequest = body && body->requestId == self->m_context.requestId;
-            if (!matchesRequest) {
-                handler(false, {});
-                return self->disconnect();
-            }
+            if (!body || body->requestId != self->m_context.requestId)
+                return handler(std::nullopt);
             self->m_requestBodyPending = !body->chunk.last;
             if (!self->m_requestBodyPending)
                 self->watchForEntryDisconnect();
-            handler(true, std::move(body->chunk));
+            handler(std::move(body->chunk));
         });
 }
 
+void PeerSession::readBody(std::function<void(bool, BodyChunk)> handler)
+{
+    readBodyFrame(bodyTimeout(),
+        [self = shared_from_this(), handler = std::move(handler)](std::optional<BodyChunk> chunk) {
+            if (!chunk) {
+                handler(false, {});
+                return self->disconnect();
+            }
+            handler(true, std::move(*chunk));
+        });
+}
+
+// The peer may stop sending while it reads the response, whose frames have time limits of their own.
+void PeerSession::discardBody()
+{
+    m_discardingBody = true;
+    const auto timeout = bodyFrameTimeout(m_context, idleTimeout, util::BootClock::now());
+    readBodyFrame(timeout, [self = shared_from_this()](const std::optional<BodyChunk>& chunk) {
+        if (!chunk)
+            return self->onEntryDisconnected();
+        if (self->m_requestBodyPending)
+            return self->discardBody();
+        self->m_discardingBody = false;
+        if (self->m_responseSent)
+            self->endRequest();
+    });
+}
+
 void PeerSession::writeHead(const ResponseHead& head, std::function<void(bool)> handler)
 {
+    if (m_bodyRequested && m_requestBodyPending)
+        discardBody();
     m_link->write(
         ResponseFrame { m_context.requestId, head, m_target->report() }, bodyTimeout(), std::move(handler));
 }
@@ -179,6 +215,8 @@
 
 void PeerSession::sendRefusal(const Refusal& refusal)
 {
+    if (m_bodyRequested && m_requestBodyPending && !m_discardingBody)
+        discardBody();
     const auto report = m_target ? m_target->report() : TargetReport {};
     m_link->write(toRefusedFrame(m_context.requestId, refusal, report), writeTimeout,
         [self = shared_from_this()](bool written) {
@@ -189,6 +227,13 @@
 }
 
 void PeerSession::finish()
+{
+    m_responseSent = true;
+    if (!m_discardingBody)
+        endRequest();
+}
+
+void PeerSession::endRequest()
 {
     if (m_stopping) {
         m_link->write(GoodbyeFrame {}, writeTimeout, [self = shared_from_this()](bool written) {
@@ -203,6 +248,8 @@
 
 void PeerSession::disconnect()
 {
+    m_requestActive = false;
+    m_discardingBody = false;
     m_host.peerDisconnected(m_link->peerHello().instance, m_link->error());
     m_link->close();
 }
--- a/tarragonhaven/peer_session.h
+++ b/tarragonhaven/peer_session.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace tarragonhaven {
@@ -24,7 +25,9 @@
 
 // Serves one link from another node: requests to targets that this node guards, and published values of the
 // configuration. It is the downstream side of a Relay to a guarded target. The session ends, and cancels the
-// request in progress, if the peer closes the link or sends an unexpected frame.
+// request in progress, if the peer closes the link or sends an unexpected frame. If a request ends before its
+// body has arrived, the rest of the body is read and dropped: closing the link would reset it, and the peer
+// would lose the response.
 class PeerSession : public std::enable_shared_from_this<PeerSession> {
 public:
     PeerSession(
@@ -37,6 +40,8 @@
     void stop();
     // Closes the link and drops the request in progress.
     void close();
+    // Returns whether a request is in progress: it is being received or run, or its response is being sent.
+    [[nodiscard]] bool busy() const { return m_requestActive; }
 
     // The functions of the Downstream concept.
     void readBody(std::function<void(bool, BodyChunk)> handler);
@@ -54,6 +59,14 @@
     [[nodiscard]] RequestContext contextOf(const OpenFrame& frame) const;
     [[nodiscard]] util::Duration bodyTimeout() const;
     void watchForEntryDisconnect();
+    // Cancels the request because the entry node has closed the link.
+    void onEntryDisconnected();
+    // Reads the next frame of the request body. Passes nothing on if it is another frame, or if the link
+    // fails or the frame does not arrive in time.
+    void readBodyFrame(util::Duration timeout, std::function<void(std::optional<BodyChunk>)> handler);
+    // Reads and drops what is left of the request body, while the response is being sent.
+    void discardBody();
+    void endRequest();
     void sendRefusal(const Refusal& refusal);
     void disconnect();
 
@@ -65,6 +78,10 @@
     // The request in progress, or the latest one.
     RequestContext m_context;
     bool m_requestBodyPending = false;
+    // Whether the peer has been told to send the request body.
+    bool m_bodyRequested = false;
+    bool m_discardingBody = false;
+    bool m_responseSent = false;
     bool m_stopping = false;
     bool m_requestActive = false;
 };
--- a/tarragonhaven/peer_sessions.cc
+++ b/tarragonhaven/peer_sessions.cc
@@ -1,5 +1,7 @@
 #include "tarragonhaven/peer_sessions.h"
 
+#include <algorithm>
+
 namespace tarragonhaven {
 
 PeerSessions::PeerSessions(boost::asio::io_context& io, PeerSessionHost& host, HelloFrame localHello,
@@ -33,6 +35,14 @@
     }
 }
 
+bool PeerSessions::busy() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(), [](const auto& weak) {
+        const auto session = weak.lock();
+        return session && session->busy();
+    });
+}
+
 void PeerSessions::removeEnded()
 {
     std::erase_if(m_sessions, [](const auto& session) { return session.expired(); });
--- a/tarragonhaven/peer_sessions.h
+++ b/tarragonhaven/peer_sessions.h
@@ -21,6 +21,8 @@
     std::string open(const Endpoint& endpoint);
     // Notifies the peers that this node is stopping.
     void stop();
+    // Returns whether any session has a request in progress.
+    [[nodiscard]] bool busy() const;
     // Removes sessions that have ended.
     void removeEnded();
 
--- a/tarragonhaven/sidecar_traffic.cc
+++ b/tarragonhaven/sidecar_traffic.cc
@@ -462,7 +462,7 @@
         return;
     }
     m_callers.closeIdle();
-    if (graceEnding || (m_callers.empty() && !m_guard.busy()))
+    if (graceEnding || (m_callers.empty() && !m_guard.busy() && !m_peerSessions.busy()))
         m_dependencies.state.drained.store(true);
 }
 
--- a/tarragonhaven/testing/early_response_test.cc
+++ b/tarragonhaven/testing/early_response_test.cc
@@ -1,7 +1,9 @@
-// Uploads whose target responds and resets its connection before it has read them, over sockets.
+// Uploads whose target responds and resets its connection before it has read them, over sockets: at the node
+// beside the target, and through a link from another node.
 
-#include "tarragonhaven/guard_exchange.h"
+#include "tarragonhaven/peer_exchange.h"
 #include "tarragonhaven/testing/early_target.h"
+#include "tarragonhaven/testing/guard_node.h"
 
 #include <absl/strings/str_cat.h>
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +18,7 @@
     constexpr std::size_t uploadBytes = 400'000;
     constexpr std::size_t bytesBeforeResponse = 128'000;
     const std::string requestId = "r1";
+    const HelloFrame hello { peerProtocolVersion, "fleet", "i1", 1 };
 
     HeaderNames headerNames()
     {
@@ -151,6 +154,21 @@
         return Upload(io, target, exchange).run();
     }
 
+    Result uploadThroughLink(const std::string& response, bool chunked)
+    {
+        boost::asio::io_context io;
+        EarlyTarget target(
+            headerNames().requestId, bytesBeforeResponse, [&](const std::string&) { return response; });
+        GuardNode guard(io, hello, target.address(), guardOptions());
+        PeerPool pool(io, hello);
+        Instance peer;
+        peer.name = { "i2" };
+        peer.peerAddress = guard.address();
+        const auto exchange = std::make_shared<PeerExchange>(pool, peer, TargetName { "t1" }, uploadContext(),
+            uploadHead(chunked), [](const TargetReport&) {});
+        return Upload(io, target, exchange).run();
+    }
+
     // Responses that end with their connection, of which the target sends a part.
     std::vector<std::string> partialResponses()
     {
@@ -204,4 +222,32 @@
     }
 }
 
+TEST_CASE("a part of a response to an upload through a link is not taken for the whole", "[net]")
+{
+    for (const auto& response : partialResponses()) {
+        INFO(response.substr(0, 120));
+        const auto result = uploadThroughLink(response, false);
+        REQUIRE(result.refusal);
+        CHECK(result.refusal->run == RunState::Unknown);
+        CHECK(result.refusal->reason != RefusalReason::PeerLost);
+    }
+}
+
+// Guards against responses that are lost because their guard resets the link on which the rest of the upload
+// arrives, and against uploads that go on although the response is there.
+TEST_CASE("a whole response to an upload through a link is delivered before the upload has ended", "[net]")
+{
+    for (const auto& response : wholeResponses()) {
+        for (const bool chunked : { false, true }) {
+            INFO(response.substr(0, 120));
+            CAPTURE(chunked);
+            const auto result = uploadThroughLink(response, chunked);
+            CHECK_FALSE(result.refusal);
+            CHECK(result.status == 413);
+            CHECK(result.body == wholeBody);
+            CHECK(result.sentBytes < uploadBytes);
+        }
+    }
+}
+
 } // namespace tarragonhaven::testing
--- a/tarragonhaven/testing/standing_peer_test.cc
+++ b/tarragonhaven/testing/standing_peer_test.cc
@@ -2,7 +2,7 @@
 // the connection open and acknowledges data. Over sockets.
 
 #include "tarragonhaven/peer_exchange.h"
-#include "tarragonhaven/peer_session.h"
+#include "tarragonhaven/testing/guard_node.h"
 #include "tarragonhaven/testing/scripted_target.h"
 
 #include <absl/strings/str_cat.h>
@@ -187,54 +187,12 @@
         return frames;
     }
 
-    class GuardHost : public PeerSessionHost {
-    public:
-        explicit GuardHost(Guard& guard)
-            : m_guard(guard)
-        {
-        }
-        Guard& guard() override { return m_guard; }
-        ValueFrame value(const std::string& name) override { return { name, false, 0, "" }; }
-        void peerDisconnected(const std::string&, const std::string&) override { }
-
-    private:
-        Guard& m_guard;
-    };
-
-    // A guard node with a target that sends a long response.
-    class GuardNode {
-    public:
-        explicit GuardNode(boost::asio::io_context& io)
-            : m_scripted(io, "127.0.0.1", "",
-                [](const ScriptedRequest&) {
-                    return ScriptedAnswer { absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", longBodyBytes,
-                        "\r\n\r\n", std::string(longBodyBytes, 'x')) };
-                })
-            , m_guard(io, { "i2" }, 1)
-            , m_host(m_guard)
-            , m_acceptor(listen(io))
-        {
-            m_guard.apply(Directory(Directory::TargetsByService { { { "status" },
-                                        { Target { { "t1" }, { "i2" }, m_scripted.address(), 4 } } } },
-                std::uint16_t { 1 }));
-            m_acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
-                REQUIRE(!error);
-                std::make_shared<PeerSession>(m_host, std::make_shared<PeerLink>(std::move(socket), hello),
-                    std::make_unique<TrackedConnection>(
-                        std::make_shared<TrackedConnection::Registry>(ConnectionLimits {}), "peer"))
-                    ->start();
-            });
-        }
-
-        [[nodiscard]] Endpoint address() const { return addressOf(m_acceptor); }
-        [[nodiscard]] int slotsInUse() const { return m_guard.find({ "t1" })->slotsInUse(); }
-
-    private:
-        ScriptedTarget m_scripted;
-        Guard m_guard;
-        GuardHost m_host;
-        tcp::acceptor m_acceptor;
-    };
+    // A target that sends a long response.
+    ScriptedAnswer longResponse(const ScriptedRequest&)
+    {
+        return { absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", longBodyBytes, "\r\n\r\n",
+            std::string(longBodyBytes, 'x')) };
+    }
 
 } // namespace
 
@@ -282,7 +240,8 @@
     for (const bool hasBody : { false, true }) {
         CAPTURE(hasBody);
         boost::asio::io_context io;
-        GuardNode guard(io);
+        ScriptedTarget target(io, "127.0.0.1", "", longResponse);
+        GuardNode guard(io, hello, target.address());
         const auto entry = std::make_shared<PeerLink>(io, hello);
         const auto microseconds = std::chrono::duration_cast<std::chrono::microseconds>(requestTime).count();
         OpenFrame open { requestId, "", "t1", true, microseconds,
