Refuse responses with a status below 100

A target's response with status 000 counted as an interim response: it was skipped, and the next response on the connection was used (users' report, seen on other systems). The store's was read as a response with status 0. A frame with a status from 100 to 199 was taken for the head of a final response.

Cause: Beast accepts any three digits, and interim responses were told from final ones by an upper bound alone.

MessageParser now fails such a response; it reads targets, the store and health probes. Frames are not decoded if the status of their response is below 200.

Evidence: malformed_response_test. Targets failed before at 000 with a valid response behind it, the store at 000, frames at 100, 101 and 199; probes passed.

--- a/tarragonhaven/message_parser.h
+++ b/tarragonhaven/message_parser.h
@@ -9,11 +9,12 @@
 namespace tarragonhaven {
 
 // A parser for messages from outside the fleet. A header field that is longer than Beast can store fails the
-// message with http::error::header_limit; Beast's own parser throws std::length_error. Fields of a trailer
-// are dropped, whatever their size: they are not forwarded, and Beast would add them to the header, which has
-// been used by then. The sizes of whole headers, bodies and buffers are limited by the settings of the base
-// class; limitFields() limits the number of fields and their memory, which is a multiple of their size if the
-// fields are short.
+// message with http::error::header_limit; Beast's own parser throws std::length_error. A status below 100,
+// which Beast accepts, fails a response with http::error::bad_status. Fields of a trailer are dropped,
+// whatever their size: they are not forwarded, and Beast would add them to the header, which has been used by
+// then. The sizes of whole headers, bodies and buffers are limited by the settings of the base class;
+// limitFields() limits the number of fields and their memory, which is a multiple of their size if the fields
+// are short.
 template <bool IsRequest, class Body>
 class MessageParser : public boost::beast::http::parser<IsRequest, Body> {
 public:
@@ -35,6 +36,16 @@
             this->get().insert(name, nameText, value);
     }
 
+    void on_header_impl(boost::beast::error_code& error) override
+    {
+        error = {};
+        if constexpr (!IsRequest) {
+            if (this->get().result_int() < lowestStatus)
+                error = boost::beast::http::error::bad_status;
+        }
+    }
+
+    static constexpr unsigned lowestStatus = 100;
     HeadLimits m_limits = HeadLimits::none();
     std::size_t m_fields = 0;
     std::size_t m_memoryBytes = 0;
--- a/tarragonhaven/peer_frame.cc
+++ b/tarragonhaven/peer_frame.cc
@@ -16,7 +16,8 @@
     constexpr std::size_t maximumDepth = 8;
     constexpr std::size_t frameArraySize = 2;
     constexpr unsigned bitsPerByte = 8;
-    constexpr int minimumStatus = 100;
+    // The lowest status of a final response.
+    constexpr int minimumStatus = 200;
     constexpr int maximumStatus = 999;
 
     msgpack::unpack_limit unpackLimit()
