--- a/tarragonhaven/http_fields.cc
+++ b/tarragonhaven/http_fields.cc
@@ -10,6 +10,15 @@
 
 namespace tarragonhaven {
 
+bool isToken(std::string_view text)
+{
+    static constexpr std::string_view punctuation = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](unsigned char character) {
+        return absl::ascii_isalnum(character)
+            || punctuation.find(static_cast<char>(character)) != std::string_view::npos;
+    });
+}
+
 bool sameFieldName(std::string_view left, std::string_view right)
 {
     return absl::EqualsIgnoreCase(util::toAbsl(left), util::toAbsl(right));
--- a/tarragonhaven/http_fields.h
+++ b/tarragonhaven/http_fields.h
@@ -12,6 +12,9 @@
 // message's Connection field.
 bool isHopByHop(std::string_view name, std::string_view connectionValue);
 
+// Returns whether a text is a token (RFC 9110, section 5.6.2), as the name of a field must be.
+bool isToken(std::string_view text);
+
 // Returns whether two field names are equal, ignoring case.
 bool sameFieldName(std::string_view left, std::string_view right);
 
--- a/tarragonhaven/peer_frame.cc
+++ b/tarragonhaven/peer_frame.cc
@@ -4,6 +4,8 @@
 
 #include "tarragonhaven/peer_frame.h"
 
+#include "tarragonhaven/http_fields.h"
+
 #include <algorithm>
 #include <type_traits>
 #include <utility>
@@ -25,16 +27,25 @@
         return { maximumArrayItems, 0, maximumFrameBytes, maximumFrameBytes, 0, maximumDepth };
     }
 
-    // Returns whether the head can be written as an HTTP message. Beast throws if it cannot.
+    // Returns whether a field can be written as a line of an HTTP head, and is read as the same field again.
+    // Beast throws if it cannot store the field, and does not check its characters.
+    bool canBeWritten(const HeaderField& field)
+    {
+        constexpr std::string_view breakingCharacters("\r\n\0", 3);
+        return isToken(field.name) && field.name.size() <= maximumFieldBytes
+            && field.value.size() <= maximumFieldBytes
+            && field.value.find_first_of(breakingCharacters) == std::string::npos;
+    }
+
+    // Returns whether the head can be written as an HTTP message.
     template <typename Head> bool canBeWritten(const Head& head)
     {
         if constexpr (std::is_same_v<Head, ResponseHead>) {
             if (head.status < minimumStatus || head.status > maximumStatus)
                 return false;
         }
-        return std::all_of(head.fields.begin(), head.fields.end(), [](const HeaderField& field) {
-            return field.name.size() <= maximumFieldBytes && field.value.size() <= maximumFieldBytes;
-        });
+        return std::all_of(head.fields.begin(), head.fields.end(),
+            [](const HeaderField& field) { return canBeWritten(field); });
     }
 
     template <typename Frame> std::optional<PeerFrame> checkedFrame(Frame frame)
--- a/tarragonhaven/testing/malformed_response_test.cc
+++ b/tarragonhaven/testing/malformed_response_test.cc
@@ -28,6 +28,16 @@
             probedField, ": 0\r\n", fieldName, ": v\r\nContent-Length: 2\r\n\r\nok");
     }
 
+    // Names with a blank or a control byte, or without a character.
+    std::vector<std::string> invalidNames()
+    {
+        std::vector<std::string> names { "", " ", "X Name", " X-Name", "X-Name ", "X-Name\t", "\tX-Name" };
+        for (int byte = 0; byte < 0x20; ++byte)
+            names.push_back(absl::StrCat("X-", std::string(1, static_cast<char>(byte)), "Name"));
+        names.emplace_back("X-\x7fName");
+        return names;
+    }
+
     std::vector<std::string> malformedResponses()
     {
         std::vector<std::string> responses;
@@ -37,6 +47,11 @@
             responses.push_back(
                 absl::StrCat("HTTP/1.1 ", status, " Text\r\n\r\n", response("200", "X-Name")));
         }
+        for (const auto& name : invalidNames())
+            responses.push_back(response("200", name));
+        // Fields that are continued on a further line.
+        for (const auto* folded : { "X-Name: v\r\n X-Other", "X-Name:\r\n X-Other", "X-Name:\r\n\tX-Other" })
+            responses.push_back(response("200", folded));
         return responses;
     }
 
@@ -129,10 +144,18 @@
     CHECK(fetched(valid)->body == "ok");
     CHECK(probed(valid) == util::Duration {});
     REQUIRE(passedOn("HTTP/1.1 103 Hints\r\n\r\n" + valid));
+    for (const auto* field : { "X-Empty:\r\nX-Name", "X-Blank: \t \r\nX-Name" }) {
+        INFO(field);
+        const auto head = passedOn(response("200", field));
+        REQUIRE(head);
+        CHECK(head->fields.size() == 5);
+        CHECK(fetched(response("200", field)));
+    }
 }
 
-// Guards against a status below 100 that counts as an interim response or reaches the caller.
-TEST_CASE("a target's response with a status below 100 is refused", "[net]")
+// Guards against a status below 100 that counts as an interim response or reaches the caller, and against
+// fields that a caller would read differently than this node.
+TEST_CASE("a target's response with a status below 100 or an invalid field name is refused", "[net]")
 {
     for (const auto& bytes : malformedResponses()) {
         INFO(bytes);
@@ -142,7 +165,7 @@
     }
 }
 
-TEST_CASE("a response of the store with a status below 100 is not used", "[net]")
+TEST_CASE("a response of the store with a status below 100 or an invalid field name is not used", "[net]")
 {
     for (const auto& bytes : malformedResponses()) {
         INFO(bytes);
@@ -152,7 +175,7 @@
     }
 }
 
-TEST_CASE("a health response with a status below 100 is not used", "[net]")
+TEST_CASE("a health response with a status below 100 or an invalid field name is not used", "[net]")
 {
     for (const auto& bytes : malformedResponses()) {
         INFO(bytes);
@@ -160,7 +183,8 @@
     }
 }
 
-TEST_CASE("a frame with a status that no final response has is not a frame")
+// Guards against heads from a peer that reach a caller or a target without having been parsed as HTTP.
+TEST_CASE("a frame with a status or a field that no response has is not a frame")
 {
     CHECK(decodes(responseFrame(200, { "X-Name", "v\tw" })));
     CHECK(decodes(responseFrame(599, { "!#$%&'*+-.^_`|~09azAZ", "" })));
@@ -168,6 +192,19 @@
         CAPTURE(status);
         CHECK_FALSE(decodes(responseFrame(status, { "X-Name", "v" })));
     }
+    for (const auto& name : invalidNames()) {
+        INFO(name);
+        CHECK_FALSE(decodes(responseFrame(200, { name, "v" })));
+        CHECK_FALSE(decodes(
+            OpenFrame { requestId, "o", "t", true, 1, { "GET", "/", { { name, "v" } }, false, -1 } }));
+    }
+    for (const auto& value :
+        std::vector<std::string> { "a\r\nX-Other: b", "a\nb", "a\rb", { 'a', '\0', 'b' } }) {
+        INFO(value);
+        CHECK_FALSE(decodes(responseFrame(200, { "X-Name", value })));
+        CHECK_FALSE(decodes(
+            OpenFrame { requestId, "o", "t", true, 1, { "GET", "/", { { "X-Name", value } }, false, -1 } }));
+    }
 }
 
 } // namespace tarragonhaven::testing
