--- a/tarragonhaven/testing/early_response_test.cc
+++ b/tarragonhaven/testing/early_response_test.cc
@@ -65,15 +65,20 @@
         std::size_t sentBytes = 0;
     };
 
+    // How an upload goes on once the target has reset its connection: with a pause after each part, in which
+    // what the peer has sent arrives, or as fast as the parts are taken.
+    enum class Pace { Paused, Fast };
+
     // Uploads a body and reads the response, as a relay does. Sends what the target reads, waits until the
     // target has reset its connection, and sends the rest, so that a write meets the reset.
     template <Exchange RequestExchange> class Upload {
     public:
-        Upload(
-            boost::asio::io_context& io, const EarlyTarget& target, std::shared_ptr<RequestExchange> exchange)
+        Upload(boost::asio::io_context& io, const EarlyTarget& target,
+            std::shared_ptr<RequestExchange> exchange, Pace pace = Pace::Paused)
             : m_io(io)
             , m_target(target)
             , m_exchange(std::move(exchange))
+            , m_pace(pace)
             , m_timer(io)
         {
         }
@@ -104,11 +109,14 @@
             const auto length = std::min(uploadBytes - m_result.sentBytes, bodyChunkBytes);
             m_result.sentBytes += length;
             const bool last = m_result.sentBytes == uploadBytes;
-            m_exchange->writeBody({ std::string(length, 'x'), last },
-                [this, last](const Outcome<void>& written) { written && !last ? writeLater() : readHead(); });
+            m_exchange->writeBody(
+                { std::string(length, 'x'), last }, [this, last](const Outcome<void>& written) {
+                    if (!written || last)
+                        return readHead();
+                    m_pace == Pace::Paused ? writeLater() : write();
+                });
         }
 
-        // The pause lets what the peer has sent arrive before the next part is sent.
         void writeLater()
         {
             m_timer.expires_after(std::chrono::milliseconds(2));
@@ -138,6 +146,7 @@
         boost::asio::io_context& m_io;
         const EarlyTarget& m_target;
         std::shared_ptr<RequestExchange> m_exchange;
+        Pace m_pace;
         boost::asio::steady_timer m_timer;
         Result m_result;
         bool m_done = false;
@@ -154,7 +163,7 @@
         return Upload(io, target, exchange).run();
     }
 
-    Result uploadThroughLink(const std::string& response, bool chunked)
+    Result uploadThroughLink(const std::string& response, bool chunked, Pace pace = Pace::Paused)
     {
         boost::asio::io_context io;
         EarlyTarget target(
@@ -166,7 +175,7 @@
         peer.peerAddress = guard.address();
         const auto exchange = std::make_shared<PeerExchange>(pool, peer, TargetName { "t1" }, uploadContext(),
             uploadHead(chunked), [](const TargetReport&) {});
-        return Upload(io, target, exchange).run();
+        return Upload(io, target, exchange, pace).run();
     }
 
     // Responses that end with their connection, of which the target sends a part.
@@ -246,6 +255,10 @@
             CHECK(result.status == 413);
             CHECK(result.body == wholeBody);
             CHECK(result.sentBytes < uploadBytes);
+            const auto fast = uploadThroughLink(response, chunked, Pace::Fast);
+            CHECK_FALSE(fast.refusal);
+            CHECK(fast.status == 413);
+            CHECK(fast.body == wholeBody);
         }
     }
 }
--- a/tarragonhaven/testing/early_target.cc
+++ b/tarragonhaven/testing/early_target.cc
@@ -65,7 +65,7 @@
         if (error)
             return;
         asio::write(socket, asio::buffer(m_script(idOf(request))), error);
-        // Without a time for what is not acknowledged yet, the connection is reset at once.
+        // With a linger time of zero, closing resets the connection.
         socket.set_option(asio::socket_base::linger(true, 0), error);
         socket.close(error);
         ++m_resets;
