--- a/review/rig-3/store.cc
+++ b/review/rig-3/store.cc
@@ -97,11 +97,29 @@
     return "{\"items\":[" + items + "],\"has_more\":false,\"as_of\":" + std::to_string(m_revision) + "}";
 }
 
-std::string Store::watch(long after, int waitMs)
+int Store::waitingWatches()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_waiting;
+}
+
+void Store::cutWatches()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_cuts;
+    m_changed.notify_all();
+}
+
+std::optional<std::string> Store::watch(long after, int waitMs)
 {
     std::unique_lock lock(m_mutex);
-    m_changed.wait_for(
-        lock, std::chrono::milliseconds(waitMs), [this, after] { return m_ended || m_revision > after; });
+    const int cutsBefore = m_cuts;
+    ++m_waiting;
+    m_changed.wait_for(lock, std::chrono::milliseconds(waitMs),
+        [&] { return m_ended || m_cuts != cutsBefore || m_revision > after; });
+    --m_waiting;
+    if (m_cuts != cutsBefore)
+        return std::nullopt;
     std::string events;
     for (const auto& [revision, event] : m_events) {
         if (revision > after)
@@ -117,8 +135,10 @@
     const auto body = watches
         ? watch(queryNumber(target, "after"), static_cast<int>(queryNumber(target, "wait_ms")))
         : range();
+    if (!body)
+        return false;
     connection.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
-        + std::to_string(body.size()) + "\r\nConnection: close\r\n\r\n" + body);
+        + std::to_string(body->size()) + "\r\nConnection: close\r\n\r\n" + *body);
     return false;
 }
 
--- a/review/rig-3/store.h
+++ b/review/rig-3/store.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,15 +35,22 @@
     void remove(const std::string& key);
     void putUpstream(const std::string& id, const UpstreamEntry& entry);
     void removeUpstream(const std::string& id);
+    // Returns how many watches are waiting for a change.
+    int waitingWatches();
+    // Ends the connections of all watches that are waiting, without responses.
+    void cutWatches();
 
 private:
     bool handle(Connection& connection, const MessageHead& head);
     std::string range();
-    std::string watch(long after, int waitMs);
+    // Returns nothing if the watch was cut.
+    std::optional<std::string> watch(long after, int waitMs);
 
     std::mutex m_mutex;
     std::condition_variable m_changed;
     long m_revision = 1;
+    int m_waiting = 0;
+    int m_cuts = 0;
     bool m_ended = false;
     // Items as the store sends them, by key.
     std::map<std::string, std::string> m_items;
