--- a/review/rig-3/cut_watch.cc
+++ b/review/rig-3/cut_watch.cc
@@ -1,4 +1,4 @@
-// Case 14: the store cuts the watches that are waiting, as it may, and answers all calls from then on. 0.1 s
+// Case 15: the store cuts the watches that are waiting, as it may, and answers all calls from then on. 0.1 s
 // later the entry of an upstream is removed, which leaves as planned without having reported that it is
 // draining, and which serves on for 2.5 s.
 //
--- a/review/rig-3/earlier_birth.cc
+++ b/review/rig-3/earlier_birth.cc
@@ -1,4 +1,4 @@
-// Case 13: an upstream that has run for a second crashes and starts again under its id. Meanwhile the time of
+// Case 14: an upstream that has run for a second crashes and starts again under its id. Meanwhile the time of
 // day of its machine has jumped back by 3.9 s, so the start that it states is earlier than the one before.
 // Seconds later it reports as planned that it is draining, serves on for 5 s and ends.
 //
--- a/review/rig-3/slow_reader.cc
+++ b/review/rig-3/slow_reader.cc
@@ -1,4 +1,4 @@
-// Case 12: a node is stopped as planned half a second after it has taken an upload of 600,000 bytes. The
+// Case 13: a node is stopped as planned half a second after it has taken an upload of 600,000 bytes. The
 // upstream begins to work when the head of the request has arrived, and reads the rest of the body after 3.8
 // s. It is there all the while.
 //
--- a/review/rig-3/stop_and_change.cc
+++ b/review/rig-3/stop_and_change.cc
@@ -1,4 +1,4 @@
-// Case 11: a node is stopped as planned while it delivers downloads, and the configuration changes 2.65 s
+// Case 12: a node is stopped as planned while it delivers downloads, and the configuration changes 2.65 s
 // after the signal. The callers then send one more request each on the connections that they have kept.
 //
 // The rule is broken if the node ends such a request before its deadline and the timeout of its route, while
