Show that a response with an unknown transfer coding is passed on with its chunk framing

A response whose Transfer-Encoding has a wrong byte, or names "chunked" twice, is read as one without a length, up to the end of the connection, and the field is dropped. The caller gets the chunks, undecoded, as a 200 with the upstream's signature.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,6 +7,6 @@
     clang++ -std=c++20 -O1 -Wall -Wextra -Werror -c "$source" -o "build/${source%.cc}.o"
 done
 library=(build/connection.o build/server.o build/record.o build/store.o build/fleet.o)
-for program in stop_and_change slow_reader earlier_birth cut_watch; do
+for program in stop_and_change slow_reader earlier_birth cut_watch transfer_coding; do
     clang++ "build/$program.o" "${library[@]}" -pthread -o "build/$program"
 done
